--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,13 @@
+"""Hypothesis profiles: CI repeats the same examples, fuzz draws new ones."""
+
+import os
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=60, database=None
+)
+hypothesis.settings.register_profile(
+    "fuzz", deadline=None, max_examples=1000, stateful_step_count=80
+)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/libs/calls/src/filbertlift_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on calls: at most once, admission, choice, retries."""
--- /dev/null
+++ b/libs/cli/src/filbertlift_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/libs/config/src/filbertlift_config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' files, versions of the configuration and compiled routes."""
--- /dev/null
+++ b/libs/core/src/filbertlift_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared records, settings, logs and the base of all errors."""
--- /dev/null
+++ b/libs/core/src/filbertlift_core/model.py
@@ -0,0 +1,91 @@
+"""Records and enumerations that every library shares."""
+
+import enum
+
+import attrs
+
+from filbertlift_core import exceptions
+
+MAX_PORT = 65_535
+
+
+class MemberState(enum.IntEnum):
+    """What is known of a node; at one incarnation a higher value wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class WorkClass(enum.IntEnum):
+    """Class of a call; a lower value is served first."""
+
+    CHECK = 0
+    COUNTER = 1
+    LONG = 2
+
+
+class Outcome(enum.Enum):
+    """What a caller is told about whether its call ran."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(order=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Returns the address written as `host:port`.
+
+        Raises:
+            ModelError: if the text has no host or no valid port.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not host:
+            raise exceptions.ModelError(f"{text!r} is not host:port")
+        if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+            raise exceptions.ModelError(f"{text!r} has no valid port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(order=True)
+class Place:
+    """Where a host stands."""
+
+    region: str
+    data_centre: str
+
+
+@attrs.frozen
+class Member:
+    """A node and the target beside it.
+
+    Attributes:
+        address: TCP address of the node's links; UDP has the same port.
+        place: region and data centre of the host.
+        service: name of the service that the target belongs to.
+        target: HTTP address of the target.
+        incarnation: milliseconds since the epoch at start, raised by the
+            node when it refutes a suspicion.
+        state: what the sender knows of the node.
+        status: HTTP address of the operators' pages.
+    """
+
+    address: Address
+    place: Place
+    service: str
+    target: Address
+    incarnation: int
+    state: MemberState
+    status: Address
--- /dev/null
+++ b/libs/core/tests/test_model.py
@@ -0,0 +1,22 @@
+"""Tests of the shared records."""
+
+import contextlib
+
+from filbertlift_core import exceptions
+from filbertlift_core import model
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+
+@given(st.text())
+def test_parse_address_never_raises_anything_else(text: str) -> None:
+    """Guards against an unhandled error on hostile input."""
+    with contextlib.suppress(exceptions.ModelError):
+        model.Address.parse(text)
+
+
+@pytest.mark.parametrize("text", ["", ":1", "a", "a:", "a:-1", "a:70000"])
+def test_parse_address_refuses(text: str) -> None:
+    with pytest.raises(exceptions.ModelError):
+        model.Address.parse(text)
--- /dev/null
+++ b/libs/distribution/src/filbertlift_distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which version is in force and who tells whom."""
--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/__init__.py
@@ -0,0 +1,1 @@
+"""Local deployments, the demo, measurements and the soak test."""
--- /dev/null
+++ b/libs/membership/src/filbertlift_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which nodes and targets exist."""
--- /dev/null
+++ b/libs/node/src/filbertlift_node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs beside each target."""
--- /dev/null
+++ b/libs/standins/src/filbertlift_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the store, targets, callers and the link."""
--- /dev/null
+++ b/libs/store/src/filbertlift_store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value service, and publication."""
--- /dev/null
+++ b/libs/transport/src/filbertlift_transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP, node links and datagrams on Twisted."""
--- /dev/null
+++ b/libs/wire/src/filbertlift_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codec of the frames between nodes."""
