--- /dev/null
+++ b/libs/node/src/filbertlift_node/links.py
@@ -0,0 +1,184 @@
+"""Table of the links of a node: one for each peer in use."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from filbertlift_core import model
+from filbertlift_transport import exceptions as transport_exceptions
+from filbertlift_transport import link as links
+from filbertlift_wire import messages
+
+# A link that carried no call for this long is closed, in seconds.
+IDLE_LIMIT_S = 30.0
+# A failed connection is not tried again for this long, in seconds, so that
+# a dead peer costs one attempt a second and not one for each call.
+RETRY_DELAY_S = 1.0
+
+Handler = Callable[[links.Link, Any], None]
+
+
+@attrs.frozen
+class LinkWatchers:
+    """Functions that are told about peers.
+
+    Attributes:
+        on_up: the first link to a peer is up.
+        on_down: the last link to a peer is lost.
+        on_lost: a link is lost, whether or not another one remains.
+        on_unreachable: a peer that was to be linked could not be.
+    """
+
+    on_up: Callable[[model.Member], None]
+    on_down: Callable[[model.Member], None]
+    on_lost: Callable[[links.Link], None]
+    on_unreachable: Callable[[model.Address], None]
+
+
+@attrs.define
+class LinkTable:
+    """Links by address of the peer.
+
+    Two nodes may open a link to one another at the same time; both stay
+    until they are idle, and the newer one is used for sending.
+
+    Attributes:
+        handlers: function for each type of message.
+    """
+
+    _reactor: Any
+    _identity: links.LinkIdentity
+    _find_proxy: Callable[[str], model.Address | None]
+    _watchers: LinkWatchers
+    handlers: dict[type, Handler] = attrs.field(factory=dict)
+    _links: dict[model.Address, list[links.Link]] = attrs.field(factory=dict)
+    _opening: set[model.Address] = attrs.field(factory=set)
+    _failed_at: dict[model.Address, float] = attrs.field(factory=dict)
+    _used_at: dict[links.Link, float] = attrs.field(factory=dict)
+    _waiting: dict[model.Address, list[Callable[[], None]]] = attrs.field(
+        factory=dict
+    )
+    _listener: links.LinkListener | None = None
+    _is_closed: bool = False
+
+    def start(self, address: model.Address) -> None:
+        """Accepts links at the address; raises CannotListenError."""
+        self._listener = links.listen_links(
+            self._reactor, address, self._identity, self._make_events(None)
+        )
+
+    def close(self) -> None:
+        """Closes the listener and every link."""
+        self._is_closed = True
+        if self._listener is not None:
+            self._listener.close()
+        for link in list(self._used_at):
+            link.close("node stops")
+
+    def get(self, address: model.Address) -> links.Link | None:
+        """Returns the link to use for a peer, None when there is none."""
+        found = self._links.get(address)
+        return found[-1] if found else None
+
+    def send(self, address: model.Address, message: messages.Message) -> bool:
+        """Sends a message to a linked peer; returns whether it was taken."""
+        link = self.get(address)
+        return link is not None and link.send(message)
+
+    def touch(self, link: links.Link) -> None:
+        """Notes that a link carries a call now."""
+        self._used_at[link] = self._reactor.seconds()
+
+    def open(
+        self,
+        address: model.Address,
+        region: str,
+        on_settled: Callable[[], None] | None = None,
+    ) -> None:
+        """Opens a link unless there is one; failures are not retried here.
+
+        Args:
+            address: link address of the peer.
+            region: region of the peer, empty when it is not known.
+            on_settled: called once, when the link is up or has failed.
+        """
+        if self.get(address) is not None or self._is_closed:
+            if on_settled is not None:
+                on_settled()
+            return
+        if on_settled is not None:
+            self._waiting.setdefault(address, []).append(on_settled)
+        if address in self._opening:
+            return
+        failed_at = self._failed_at.get(address, float("-inf"))
+        if self._reactor.seconds() - failed_at < RETRY_DELAY_S:
+            self._finish_opening(address)
+            return
+        self._opening.add(address)
+        links.open_link(
+            self._reactor,
+            address,
+            self._identity,
+            self._make_events(address),
+            self._find_proxy(region),
+        )
+
+    def close_idle(self, kept: frozenset[model.Address]) -> None:
+        """Closes links that carried no call lately, except to `kept`."""
+        limit = self._reactor.seconds() - IDLE_LIMIT_S
+        for link, used_at in list(self._used_at.items()):
+            if used_at < limit and link.peer.address not in kept:
+                link.close("idle")
+
+    def list_links(self) -> list[links.Link]:
+        """Returns every link that is up."""
+        return list(self._used_at)
+
+    def _make_events(self, opened: model.Address | None) -> links.LinkEvents:
+        def handle_up(link: links.Link) -> None:
+            self._add(link, opened)
+
+        def handle_down(
+            link: links.Link, error: transport_exceptions.LinkError
+        ) -> None:
+            if link in self._used_at:
+                self._remove(link)
+            elif opened is not None:
+                self._failed_at[opened] = self._reactor.seconds()
+                self._finish_opening(opened)
+                self._watchers.on_unreachable(opened)
+
+        return links.LinkEvents(handle_up, self._dispatch, handle_down)
+
+    def _dispatch(self, link: links.Link, message: messages.Message) -> None:
+        handler = self.handlers.get(type(message))
+        if handler is not None:
+            handler(link, message)
+
+    def _add(self, link: links.Link, opened: model.Address | None) -> None:
+        address = link.peer.address
+        self.touch(link)
+        found = self._links.setdefault(address, [])
+        found.append(link)
+        self._failed_at.pop(address, None)
+        if len(found) == 1:
+            self._watchers.on_up(link.peer)
+        for settled in {address, opened or address}:
+            self._finish_opening(settled)
+
+    def _remove(self, link: links.Link) -> None:
+        del self._used_at[link]
+        address = link.peer.address
+        remaining = self._links[address]
+        remaining.remove(link)
+        if not remaining:
+            del self._links[address]
+        self._watchers.on_lost(link)
+        if not remaining:
+            self._watchers.on_down(link.peer)
+
+    def _finish_opening(self, address: model.Address) -> None:
+        self._opening.discard(address)
+        for on_settled in self._waiting.pop(address, []):
+            on_settled()
--- /dev/null
+++ b/libs/node/src/filbertlift_node/watcher.py
@@ -0,0 +1,115 @@
+"""Watch of the head at the store, run by the gateways of a region."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_config import exceptions as config_exceptions
+from filbertlift_config import snapshot as snapshots
+from filbertlift_core import logs
+from filbertlift_store import exceptions as store_exceptions
+from filbertlift_store import interface
+from filbertlift_store import snapshots as store_snapshots
+
+# A watch waits this long at the store; each end of it confirms that the
+# version is current, so it bounds the age that freshness can reach.
+WATCH_S = 1.0
+# Delay after a failed call, doubled up to the maximum, in seconds.
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 3.0
+
+_ERRORS = (store_exceptions.StoreError, config_exceptions.ConfigError)
+
+
+@attrs.frozen
+class WatchEvents:
+    """Functions that a watch calls; ages are in seconds.
+
+    Attributes:
+        on_snapshot: a version was read.
+        on_confirmed: the head still names this version.
+    """
+
+    on_snapshot: Callable[[snapshots.Snapshot, float], None]
+    on_confirmed: Callable[[int, float], None]
+
+
+@attrs.define
+class StoreWatcher:
+    """Follows the head while it runs."""
+
+    _reactor: Any
+    _store: interface.Store
+    _cluster: str
+    _events: WatchEvents
+    _find_base: Callable[[], snapshots.Snapshot | None]
+    _rng: random.Random
+    _delay_s: float = 0.0
+    _revision: int = 0
+    _version: int = 0
+    _retry_s: float = FIRST_RETRY_S
+    _run: defer.Deferred[None] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the watch runs."""
+        return self._run is not None
+
+    def start(self, delay_s: float) -> None:
+        """Starts to watch, or changes the delay of a running watch.
+
+        Args:
+            delay_s: time to wait before a new version is fetched, so that
+                the second gateway can get it from the first one.
+        """
+        self._delay_s = delay_s
+        if self._run is not None:
+            return
+        self._revision = 0
+        self._run = defer.ensureDeferred(self._watch())
+        self._run.addErrback(lambda reason: reason.trap(defer.CancelledError))
+
+    def close(self) -> None:
+        """Stops the watch; a call in flight is cancelled."""
+        if self._run is None:
+            return
+        run, self._run = self._run, None
+        run.cancel()
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                await self._watch_once()
+                self._retry_s = FIRST_RETRY_S
+            except _ERRORS as error:
+                logs.log_event("store.watch_failed", error=str(error))
+                await self._back_off()
+
+    async def _watch_once(self) -> None:
+        sent_at = self._reactor.seconds()
+        entry = await self._store.watch(
+            interface.head_key(self._cluster), self._revision, WATCH_S
+        )
+        if entry is None:
+            age = self._reactor.seconds() - sent_at
+            self._events.on_confirmed(self._version, age)
+            return
+        if self._revision and self._delay_s:
+            await task.deferLater(self._reactor, self._delay_s)
+        sent_at = self._reactor.seconds()
+        snapshot = await store_snapshots.fetch_snapshot(
+            self._store, self._cluster, self._find_base()
+        )
+        self._revision = entry.revision
+        if snapshot is not None:
+            self._version = snapshot.version
+            self._events.on_snapshot(snapshot, self._reactor.seconds() - sent_at)
+
+    def _back_off(self) -> defer.Deferred[None]:
+        delay = self._retry_s * self._rng.uniform(0.5, 1.0)
+        self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
+        return task.deferLater(self._reactor, delay)
