--- /dev/null
+++ b/libs/membership/src/filbertlift_membership/exceptions.py
@@ -0,0 +1,9 @@
+"""Errors of the membership library."""
+
+from filbertlift_core import exceptions
+
+
+class MembershipError(exceptions.FilbertliftError):
+    """A member table was used in a way that it does not allow."""
+
+    code = "FL-MEMBERSHIP"
