--- /dev/null
+++ b/libs/config/src/filbertlift_config/delta.py
@@ -0,0 +1,168 @@
+"""Delta: what turns one version into a later one, verified by the root."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import Final
+
+import attrs
+
+from filbertlift_config import exceptions
+from filbertlift_config import head as heads
+from filbertlift_config import page as paging
+from filbertlift_config import scalars
+from filbertlift_config import section as sections
+from filbertlift_config import snapshot as snapshots
+
+# A whole configuration of 810 services at 64 KB would be 53 MB; deltas larger
+# than this are refused and the version is loaded from the store instead.
+MAX_DELTA_BYTES: Final = 16_000_000
+
+
+@attrs.frozen
+class Delta:
+    """The difference between two versions.
+
+    The pages and the head are not carried: they are computed from the base,
+    which keeps a delta of one section near the size of that section.
+
+    Attributes:
+        base_version: version that the delta applies to.
+        base_root: root of that version.
+        records: history after the base, at most 64 lines, the target last.
+        changed: new section by name.
+        removed: names of removed sections.
+    """
+
+    base_version: int
+    base_root: str
+    records: tuple[heads.VersionRecord, ...]
+    changed: Mapping[str, paging.Change]
+    removed: tuple[str, ...]
+
+    @property
+    def version(self) -> int:
+        """Version that the delta leads to."""
+        return self.records[-1].version
+
+    @property
+    def root(self) -> str:
+        """Root of that version."""
+        return self.records[-1].root
+
+
+def make_delta(old: snapshots.Snapshot, new: snapshots.Snapshot) -> Delta:
+    """Returns the delta from an older to a newer snapshot.
+
+    Raises:
+        SnapshotError: if `new` is not newer than `old`.
+    """
+    if new.version <= old.version:
+        raise exceptions.SnapshotError("a delta leads to a newer version")
+    changed: dict[str, paging.Change] = {}
+    removed: list[str] = []
+    for before, after in zip(old.pages, new.pages, strict=True):
+        if before.hash == after.hash:
+            continue
+        removed += [
+            name for name in before.entries if name not in after.entries
+        ]
+        for name, entry in after.entries.items():
+            if before.entries.get(name) != entry:
+                changed[name] = _make_change(entry, new.sections[name])
+    records = tuple(
+        record for record in new.head.history if record.version > old.version
+    )
+    return Delta(
+        old.version, old.root, records, changed, tuple(sorted(removed))
+    )
+
+
+def _make_change(
+    entry: paging.Entry, section: sections.Section
+) -> paging.Change:
+    data = sections.encode_section(section)
+    return paging.Change(entry.version, data, section)
+
+
+def apply_delta(old: snapshots.Snapshot, delta: Delta) -> snapshots.Snapshot:
+    """Returns the version that the delta leads to, verified by its root.
+
+    Raises:
+        SnapshotError: if the delta is for another base, is invalid, or the
+            result does not have the stated root.
+    """
+    if (delta.base_version, delta.base_root) != (old.version, old.root):
+        raise exceptions.SnapshotError("the delta is for another base")
+    if not delta.records or delta.version <= old.version:
+        raise exceptions.SnapshotError("the delta leads to no newer version")
+    pages = paging.replace_sections(old.pages, delta.changed, delta.removed)
+    hashes = tuple(page.hash for page in pages)
+    if heads.hash_pages(hashes) != delta.root:
+        raise exceptions.SnapshotError("the delta does not lead to its root")
+    head = heads.make_head(old.head, hashes, delta.records)
+    merged = snapshots.merge(old.sections, delta.changed, delta.removed)
+    return snapshots.verify_snapshot(snapshots.Snapshot(head, pages, merged))
+
+
+def encode_delta(delta: Delta) -> bytes:
+    """Returns the bytes of a delta."""
+    return sections.encode_canonical(
+        {
+            "base_version": delta.base_version,
+            "base_root": delta.base_root,
+            "records": heads.encode_records(delta.records),
+            "changed": {
+                name: [change.version, change.data.decode("ascii")]
+                for name, change in delta.changed.items()
+            },
+            "removed": list(delta.removed),
+        }
+    )
+
+
+def decode_delta(data: bytes) -> Delta:
+    """Returns the delta in these bytes; raises SnapshotError."""
+    content = sections.decode_object(
+        data, MAX_DELTA_BYTES, exceptions.SnapshotError
+    )
+    base_version = content.get("base_version")
+    if base_version != 0 or isinstance(base_version, bool):
+        base_version = scalars.check_version(base_version)
+    records = heads.decode_records(content.get("records"))
+    if not records:
+        raise exceptions.SnapshotError("a delta names its version")
+    return Delta(
+        base_version,
+        scalars.check_hash(content.get("base_root")),
+        records,
+        _decode_changed(content.get("changed")),
+        _decode_removed(content.get("removed")),
+    )
+
+
+def _decode_changed(rows: Any) -> dict[str, paging.Change]:
+    if not isinstance(rows, dict):
+        raise exceptions.SnapshotError("a delta has changed sections")
+    return {
+        scalars.check_name(name): _decode_change(name, row)
+        for name, row in rows.items()
+    }
+
+
+def _decode_change(name: str, row: Any) -> paging.Change:
+    if not isinstance(row, list) or len(row) != 2:
+        raise exceptions.SnapshotError("not a change")
+    version, text = row
+    if not isinstance(text, str) or not text.isascii():
+        raise exceptions.SnapshotError("a section is ASCII text")
+    data = text.encode("ascii")
+    section = snapshots.read_section(name, data)
+    return paging.Change(scalars.check_version(version), data, section)
+
+
+def _decode_removed(rows: Any) -> tuple[str, ...]:
+    if not isinstance(rows, list):
+        raise exceptions.SnapshotError("a delta has removed sections")
+    if not all(isinstance(name, str) for name in rows):
+        raise exceptions.SnapshotError("a removed section is a name")
+    return tuple(rows)
--- /dev/null
+++ b/libs/config/src/filbertlift_config/page.py
@@ -0,0 +1,123 @@
+"""Pages: which sections a version has, in 64 parts."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import Final
+
+import attrs
+from filbertlift_core import env
+
+from filbertlift_config import exceptions
+from filbertlift_config import scalars
+from filbertlift_config import section as codec
+
+PAGES: Final = 64
+
+
+@attrs.frozen
+class Entry:
+    """What a page says of one section.
+
+    The version tells a section that was changed and changed back from one
+    that was left alone, which the hash cannot.
+
+    Attributes:
+        hash: hash of the encoded section.
+        version: version in which the section last changed.
+    """
+
+    hash: str
+    version: int
+
+
+@attrs.frozen(eq=False)
+class Page:
+    """The sections whose names hash to one of the 64 pages.
+
+    Attributes:
+        entries: entry by name of the section.
+        hash: hash of the encoded page.
+    """
+
+    entries: Mapping[str, Entry]
+    hash: str
+
+    @classmethod
+    def build(cls, entries: Mapping[str, Entry]) -> "Page":
+        """Returns the page with these entries."""
+        return cls(entries, codec.hash_bytes(encode_page(entries)))
+
+
+@attrs.frozen
+class Change:
+    """A section that a later version adds or replaces.
+
+    Attributes:
+        version: version in which it changed.
+        data: the encoded section.
+        section: the same, decoded.
+    """
+
+    version: int
+    data: bytes
+    section: codec.Section
+
+
+def replace_sections(
+    pages: tuple[Page, ...],
+    added: Mapping[str, Change],
+    removed: Iterable[str],
+) -> tuple[Page, ...]:
+    """Returns the pages with only the affected ones encoded again."""
+    affected: dict[int, dict[str, Entry]] = {}
+    for name in (*removed, *added):
+        number = select_page(name)
+        entries = affected.setdefault(number, dict(pages[number].entries))
+        entries.pop(name, None)
+        if name in added:
+            change = added[name]
+            entries[name] = Entry(codec.hash_bytes(change.data), change.version)
+    result = list(pages)
+    for number, entries in affected.items():
+        result[number] = Page.build(entries)
+    return tuple(result)
+
+
+def select_page(name: str) -> int:
+    """Returns the number of the page of a section."""
+    return int(codec.hash_bytes(name.encode("utf-8"))[:2], 16) % PAGES
+
+
+def encode_page(entries: Mapping[str, Entry]) -> bytes:
+    """Returns the canonical bytes of a page.
+
+    Raises:
+        SnapshotError: if the store could not hold the page.
+    """
+    data = codec.encode_canonical(
+        {name: [entry.hash, entry.version] for name, entry in entries.items()}
+    )
+    if len(data) > env.MAX_STORE_VALUE_BYTES:
+        raise exceptions.SnapshotError("too many sections on one page")
+    return data
+
+
+def decode_page(data: bytes) -> Page:
+    """Returns the page in canonical bytes; raises SnapshotError."""
+    content = codec.decode_object(
+        data, env.MAX_STORE_VALUE_BYTES, exceptions.SnapshotError
+    )
+    entries = {
+        scalars.check_name(name): _decode_entry(row)
+        for name, row in content.items()
+    }
+    if encode_page(entries) != data:
+        raise exceptions.SnapshotError("a page is not in its canonical form")
+    return Page(entries, codec.hash_bytes(data))
+
+
+def _decode_entry(row: Any) -> Entry:
+    if not isinstance(row, list) or len(row) != 2:
+        raise exceptions.SnapshotError("not an entry of a page")
+    return Entry(scalars.check_hash(row[0]), scalars.check_version(row[1]))
--- /dev/null
+++ b/libs/config/src/filbertlift_config/snapshot.py
@@ -0,0 +1,174 @@
+"""Snapshot: one complete, verified version of the configuration."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from filbertlift_config import exceptions
+from filbertlift_config import file
+from filbertlift_config import head as heads
+from filbertlift_config import page as paging
+from filbertlift_config import section as codec
+
+
+@attrs.frozen(eq=False)
+class Snapshot:
+    """A version with all its pages and sections.
+
+    Build it by a class method or by `apply_delta`; both verify it. Unchanged
+    pages and sections are shared between versions.
+
+    Attributes:
+        head: what the store's head says of the version.
+        pages: the 64 pages.
+        sections: section by name.
+    """
+
+    head: heads.Head
+    pages: tuple[paging.Page, ...]
+    sections: Mapping[str, codec.Section]
+
+    @property
+    def version(self) -> int:
+        """Number of the version."""
+        return self.head.version
+
+    @property
+    def root(self) -> str:
+        """Hash over the pages."""
+        return self.head.root
+
+    def get_entry(self, name: str) -> paging.Entry | None:
+        """Returns the entry of a section, or None when there is none."""
+        return self.pages[paging.select_page(name)].entries.get(name)
+
+    @classmethod
+    def empty(cls) -> "Snapshot":
+        """Returns version 0, which has no sections."""
+        pages = tuple(paging.Page.build({}) for _ in range(paging.PAGES))
+        hashes = tuple(page.hash for page in pages)
+        return cls(
+            heads.Head(0, heads.hash_pages(hashes), "", hashes, ()), pages, {}
+        )
+
+    @classmethod
+    def build(
+        cls,
+        head: heads.Head,
+        pages: Iterable[bytes],
+        contents: Mapping[str, bytes],
+        base: "Snapshot | None" = None,
+    ) -> "Snapshot":
+        """Returns the snapshot of encoded parts, every one verified.
+
+        Args:
+            head: the decoded head.
+            pages: the 64 encoded pages in order.
+            contents: encoded section by hash; sections that `base` has under
+                the same name and hash may be left out.
+            base: an older snapshot whose sections are taken over.
+
+        Raises:
+            SnapshotError: if a part is missing, altered or invalid.
+        """
+        decoded = tuple(paging.decode_page(data) for data in pages)
+        if tuple(page.hash for page in decoded) != head.pages:
+            raise exceptions.SnapshotError("pages do not match the head")
+        found: dict[str, codec.Section] = {}
+        for number, page in enumerate(decoded):
+            for name, entry in page.entries.items():
+                if paging.select_page(name) != number:
+                    raise exceptions.SnapshotError(f"{name} is on a wrong page")
+                if entry.version > head.version:
+                    raise exceptions.SnapshotError(f"{name} is from later")
+                found[name] = _take_section(name, entry, contents, base)
+        return verify_snapshot(cls(head, decoded, found))
+
+    def advance(
+        self,
+        changes: Mapping[str, codec.Section | None],
+        publication: str,
+    ) -> "Snapshot":
+        """Returns the next version with some sections replaced or removed.
+
+        Args:
+            changes: the new section by name; None removes.
+            publication: id of the publication.
+
+        Raises:
+            SnapshotError: if the result is not valid as a whole.
+        """
+        version = self.version + 1
+        added = {
+            name: paging.Change(version, codec.encode_section(section), section)
+            for name, section in changes.items()
+            if section is not None
+        }
+        removed = [name for name, section in changes.items() if section is None]
+        pages = paging.replace_sections(self.pages, added, removed)
+        hashes = tuple(page.hash for page in pages)
+        record = heads.VersionRecord(
+            version, publication, heads.hash_pages(hashes)
+        )
+        head = heads.make_head(self.head, hashes, (record,))
+        return verify_snapshot(
+            Snapshot(head, pages, merge(self.sections, added, removed))
+        )
+
+
+def _take_section(
+    name: str,
+    entry: paging.Entry,
+    contents: Mapping[str, bytes],
+    base: Snapshot | None,
+) -> codec.Section:
+    known = base.get_entry(name) if base is not None else None
+    if base is not None and known is not None and known.hash == entry.hash:
+        return base.sections[name]
+    data = contents.get(entry.hash)
+    if data is None or codec.hash_bytes(data) != entry.hash:
+        raise exceptions.SnapshotError(f"section {name} is missing or altered")
+    return read_section(name, data)
+
+
+def read_section(name: str, data: bytes) -> codec.Section:
+    """Returns the section that must have this name.
+
+    Raises:
+        SnapshotError: if the bytes are invalid or name another section.
+    """
+    try:
+        section = codec.decode_section(data)
+    except exceptions.SectionError as error:
+        raise exceptions.SnapshotError(f"{name}: {error.message}") from error
+    if section.name != name:
+        raise exceptions.SnapshotError(f"{name} names {section.name}")
+    return section
+
+
+def verify_snapshot(snapshot: Snapshot) -> Snapshot:
+    """Returns the snapshot when head, root and references agree.
+
+    Raises:
+        SnapshotError: if they do not.
+    """
+    heads.check_head(snapshot.head)
+    problems = file.check_sections(snapshot.sections.values())
+    if problems:
+        text = "; ".join(str(problem) for problem in problems[:5])
+        raise exceptions.SnapshotError(f"version is not valid: {text}")
+    return snapshot
+
+
+def merge(
+    old: Mapping[str, codec.Section],
+    added: Mapping[str, paging.Change],
+    removed: Iterable[str],
+) -> dict[str, codec.Section]:
+    """Returns the sections with some replaced, added or removed."""
+    merged = dict(old)
+    for name in removed:
+        merged.pop(name, None)
+    merged.update({name: change.section for name, change in added.items()})
+    return merged
