Add the target, caller and link stand-ins

Measurements and the demo need targets that take time, shed, drain and record their runs, callers with an open-loop schedule that check every answer, and a link with the delay and rate of the paid one.

--- a/libs/standins/src/filbertlift_standins/web.py
+++ b/libs/standins/src/filbertlift_standins/web.py
@@ -109,15 +109,16 @@
 
     Attributes:
         silent: when set, nothing is sent on this connection any more.
-        number: the position of the connection among all that were accepted.
+        position: connections open when this one was accepted, itself
+            included.
         served: requests begun on this connection.
     """
 
     transport: Any
 
-    def __init__(self, server: "Server", number: int) -> None:
+    def __init__(self, server: "Server") -> None:
         self.server = server
-        self.number = number
+        self.position = 0
         self.silent = False
         self.served = 0
         self.current: Exchange | None = None
@@ -132,6 +133,7 @@
         self.transport.setTcpNoDelay(True)
         self.server.connections.add(self)
         self.server.accepted += 1
+        self.position = len(self.server.connections)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802, ARG002
         """Tells the handler of an unfinished request."""
@@ -225,7 +227,7 @@
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802, ARG002
         """Returns the protocol of a new connection."""
-        return ServerConnection(self, self.accepted)
+        return ServerConnection(self)
 
     def abort_connections(self) -> None:
         """Closes every connection at once."""
@@ -261,6 +263,15 @@
         setattr(record, name, value)
 
 
+def parse_json(data: bytes) -> Any:
+    """Returns the value of a JSON text.
+
+    Raises:
+        ValueError: if the text is not JSON.
+    """
+    return orjson.loads(data)
+
+
 def answer_faults(
     exchange: Exchange, record: Any, on_change: Callable[[], None]
 ) -> None:
@@ -269,7 +280,7 @@
         exchange.respond_json(attrs.asdict(record))
         return
     try:
-        update_record(record, orjson.loads(exchange.request.body))
+        update_record(record, parse_json(exchange.request.body))
     except ValueError as error:
         exchange.respond(400, f"{error}\n".encode())
         return
--- /dev/null
+++ b/libs/standins/src/filbertlift_standins/work.py
@@ -0,0 +1,106 @@
+"""Work of the target stand-in: its time, its record and its downloads."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+from twisted.internet import interfaces
+from zope.interface import implementer
+
+from filbertlift_standins import content
+from filbertlift_standins import web
+
+
+@attrs.frozen
+class WorkTime:
+    """Time of the work of one operation."""
+
+    method: str
+    prefix: str
+    work_ms: float
+
+    @classmethod
+    def parse(cls, text: str) -> "WorkTime":
+        """Returns the entry written as `GET /slots=5`.
+
+        Raises:
+            ValueError: if the text has another form.
+        """
+        operation, separator, work_ms = text.rpartition("=")
+        method, space, prefix = operation.partition(" ")
+        if not separator or not space:
+            raise ValueError(f"{text!r} is not like 'GET /slots=5'")
+        return cls(method, prefix, float(work_ms))
+
+
+@attrs.define
+class Run:
+    """What one request id caused here; times are seconds since the epoch."""
+
+    path: str
+    started: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    calls: list[str] = attrs.Factory(list)
+    times: list[float] = attrs.Factory(list)
+
+
+@attrs.define(eq=False)
+class Work:
+    """One piece of work that holds a slot."""
+
+    exchange: web.Exchange
+    run: Run
+    request_id: str
+    work_s: float
+    timer: Any = None
+    stopped: bool = False
+
+
+@implementer(interfaces.IPullProducer)
+class Download:
+    """Streams content over the time of the work, as fast as it is read."""
+
+    def __init__(
+        self,
+        clock: Any,
+        work: Work,
+        length: int,
+        finish: Callable[[Work], None],
+    ) -> None:
+        self._clock = clock
+        self._finish = finish
+        self._work = work
+        count = max(1, -(-length // content.BLOCK_BYTES))
+        self._pause_s = work.work_s / count
+        self._left = length
+        self._blocks: Iterator[bytes] = content.iterate_blocks(
+            work.request_id, length
+        )
+        self._transport: Any = work.exchange.connection.transport
+
+    def start(self) -> None:
+        """Begins to write; the transport asks for each further block."""
+        self._transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Schedules the next block."""
+        timer = self._work.timer
+        if timer is None or not timer.active():
+            self._work.timer = self._clock.callLater(
+                self._pause_s, self._write_block
+            )
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stops; the loss of the connection is handled by the work."""
+
+    def _write_block(self) -> None:
+        block = next(self._blocks)
+        self._left -= len(block)
+        if self._left == 0:
+            # Nothing may follow the last block before the next answer.
+            self._transport.unregisterProducer()
+        self._work.exchange.write(block)
+        if self._left == 0:
+            self._finish(self._work)
