--- /dev/null
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -0,0 +1,355 @@
+"""Messages between nodes, one frozen record for each kind."""
+
+import attrs
+from filbertlift_core import model
+
+
+@attrs.frozen
+class Header:
+    """One HTTP header of a call or an answer."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Hello:
+    """First message on a link, from the node that opened it.
+
+    Attributes:
+        cluster: name of the cluster; links join one cluster only.
+        wire_version: newest protocol version that the sender speaks.
+        member: the sender.
+        version: configuration version in force at the sender.
+        proof: HMAC over the nonces, empty until both are known.
+        nonce: random bytes that the receiver's proof must cover.
+    """
+
+    cluster: str
+    wire_version: int
+    member: model.Member
+    version: int
+    proof: bytes
+    nonce: bytes
+
+
+@attrs.frozen
+class Welcome:
+    """Answer to `Hello`, with the same fields."""
+
+    cluster: str
+    wire_version: int
+    member: model.Member
+    version: int
+    proof: bytes
+    nonce: bytes
+
+
+@attrs.frozen
+class Heartbeat:
+    """Sent every second; anything lost is repaired from it.
+
+    Attributes:
+        version: configuration version in force at the sender.
+        root: hash of that version.
+        age_ms: time since a watcher confirmed the head at the store, or -1
+            when it is unknown.
+        queue: calls waiting at the sender.
+    """
+
+    version: int
+    root: str
+    age_ms: int
+    queue: int
+
+
+@attrs.frozen
+class Call:
+    """A call for the target beside the receiver.
+
+    Attributes:
+        stream: number of the call on this link.
+        call_id: identity of the call, unique in the cluster.
+        caller: name of the caller.
+        token: the caller's token, verified again by the receiver.
+        service: name of the service.
+        method: HTTP method.
+        path: path with query.
+        headers: HTTP headers for the target.
+        deadline_ms: time remaining, in milliseconds.
+        version: configuration version that the call was routed under.
+        depth: how many calls deep the chain is.
+        attempt: 1 for the first attempt.
+        incarnation: incarnation of the keeper meant, or 0 for any.
+        keyed: whether the caller gave an idempotency key.
+        fingerprint: hash of the request, to detect a reused key.
+        more: whether the body continues in chunks.
+        body: the body or its first part.
+    """
+
+    stream: int
+    call_id: bytes
+    caller: str
+    token: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    deadline_ms: int
+    version: int
+    depth: int
+    attempt: int
+    incarnation: int
+    keyed: bool
+    fingerprint: bytes
+    more: bool
+    body: bytes
+
+
+@attrs.frozen
+class Answer:
+    """Answer to a call.
+
+    Attributes:
+        stream: number of the call on this link.
+        outcome: whether the call ran.
+        code: stable code of a refusal or failure, empty when done.
+        status: HTTP status.
+        headers: HTTP headers of the response.
+        queue: calls waiting at the sender.
+        version: configuration version that the call ran under.
+        retry_after_ms: when a retry makes sense, 0 if not given.
+        retried: whether this repeats an answer kept from before.
+        incarnation: incarnation of the keeper.
+        more: whether the body continues in chunks.
+        body: the body or its first part.
+    """
+
+    stream: int
+    outcome: model.Outcome
+    code: str
+    status: int
+    headers: tuple[Header, ...]
+    queue: int
+    version: int
+    retry_after_ms: int
+    retried: bool
+    incarnation: int
+    more: bool
+    body: bytes
+
+
+@attrs.frozen
+class Chunk:
+    """Part of a body; `failed` ends a body that stays incomplete."""
+
+    stream: int
+    last: bool
+    failed: bool
+    body: bytes
+
+
+@attrs.frozen
+class Credit:
+    """Allows the peer to send this many more bytes on a stream."""
+
+    stream: int
+    bytes: int
+
+
+@attrs.frozen
+class Cancel:
+    """The caller no longer waits for the call."""
+
+    stream: int
+    call_id: bytes
+
+
+@attrs.frozen
+class Cancelled:
+    """Answer to `Cancel`: whether the call had been started."""
+
+    stream: int
+    call_id: bytes
+    ran: bool
+
+
+@attrs.frozen
+class Settle:
+    """Asks what became of a call at that incarnation of the keeper."""
+
+    stream: int
+    call_id: bytes
+    incarnation: int
+
+
+@attrs.frozen
+class Settled:
+    """Answer to `Settle`, with the kept answer if there is one."""
+
+    stream: int
+    call_id: bytes
+    outcome: model.Outcome
+    known: bool
+    running: bool
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@attrs.frozen
+class Notice:
+    """The sender has this configuration version; fields as `Heartbeat`."""
+
+    version: int
+    root: str
+    age_ms: int
+
+
+@attrs.frozen
+class Fetch:
+    """Asks for an update from a version; 0 asks for everything."""
+
+    base_version: int
+
+
+@attrs.frozen
+class SectionData:
+    """A section and its encoded bytes."""
+
+    name: str
+    data: bytes
+
+
+@attrs.frozen
+class Update:
+    """Part of an answer to `Fetch`.
+
+    Attributes:
+        base_version: version that the changes apply to.
+        head: encoded head of the new version, in every part.
+        whole: whether the parts hold every section instead of changes.
+        changed: changed sections of this part.
+        removed: names of removed sections.
+        last: whether this is the last part.
+    """
+
+    base_version: int
+    head: bytes
+    whole: bool
+    changed: tuple[SectionData, ...]
+    removed: tuple[str, ...]
+    last: bool
+
+
+@attrs.frozen
+class Gossip:
+    """Members whose state changed."""
+
+    members: tuple[model.Member, ...]
+
+
+@attrs.frozen
+class DigestEntry:
+    """Digest of the members of one data centre."""
+
+    data_centre: str
+    digest: str
+
+
+@attrs.frozen
+class Digest:
+    """Digests of the sender's member table."""
+
+    entries: tuple[DigestEntry, ...]
+
+
+@attrs.frozen
+class Report:
+    """The sender holds this configuration version."""
+
+    version: int
+
+
+@attrs.frozen
+class Reported:
+    """Answer to `Report`: the version is recorded as a floor."""
+
+    version: int
+
+
+@attrs.frozen
+class AskFloor:
+    """Asks for the version floor of a host."""
+
+    address: model.Address
+
+
+@attrs.frozen
+class Floor:
+    """Answer to `AskFloor`.
+
+    Attributes:
+        version: version in force at the sender.
+        floor: highest version that the host reported to the sender.
+        complete: whether the sender itself finished gathering floors.
+    """
+
+    version: int
+    floor: int
+    complete: bool
+
+
+@attrs.frozen
+class Ping:
+    """Probe of a node; datagram."""
+
+    sequence: int
+    sender: model.Address
+    version: int
+    age_ms: int
+
+
+@attrs.frozen
+class Ack:
+    """Answer to a probe of the node `about`; datagram."""
+
+    sequence: int
+    sender: model.Address
+    version: int
+    age_ms: int
+    about: model.Address
+
+
+@attrs.frozen
+class PingRequest:
+    """Asks the receiver to probe the node `about`; datagram."""
+
+    sequence: int
+    sender: model.Address
+    about: model.Address
+
+
+Message = (
+    Hello
+    | Welcome
+    | Heartbeat
+    | Call
+    | Answer
+    | Chunk
+    | Credit
+    | Cancel
+    | Cancelled
+    | Settle
+    | Settled
+    | Notice
+    | Fetch
+    | Update
+    | Gossip
+    | Digest
+    | Report
+    | Reported
+    | AskFloor
+    | Floor
+)
+Datagram = Ping | Ack | PingRequest
