Add links between nodes

A link greets with an HMAC over both nonces in both directions, sends heartbeats each second and is dropped after 3 s without a received byte.

--- /dev/null
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -0,0 +1,398 @@
+"""Links between nodes: frames over one TCP connection."""
+
+from collections.abc import Callable
+import os
+from typing import Any
+
+import attrs
+from filbertlift_core import env
+from filbertlift_core import logs
+from filbertlift_core import model
+from filbertlift_wire import exceptions as wire_exceptions
+from filbertlift_wire import frames
+from filbertlift_wire import messages
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from zope.interface import implementer
+
+from filbertlift_transport import exceptions
+from filbertlift_transport import greeting
+from filbertlift_transport import lifecycle
+from filbertlift_transport import proxies
+
+CONNECT_TIMEOUT_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
+# Established connections can go silent for good; a link without a byte for
+# this long is dropped and its calls are settled over a new one.
+SILENCE_LIMIT_S = 3.0
+# Streams are limited by credit, so only a peer that stopped reading while
+# control messages go on reaches this.
+MAX_UNSENT_BYTES = 8_000_000
+
+LinkIdentity = greeting.LinkIdentity
+
+
+@attrs.frozen
+class LinkEvents:
+    """Functions that a link calls.
+
+    Attributes:
+        on_up: the peer is authenticated; messages can be sent.
+        on_message: a message other than greetings and heartbeat arrived;
+            heartbeats are passed on as well, after the link noted them.
+        on_down: the link is closed; called once, also for a link that never
+            came up.
+    """
+
+    on_up: Callable[["Link"], None]
+    on_message: Callable[["Link", messages.Message], None]
+    on_down: Callable[["Link", exceptions.LinkError], None]
+
+
+@attrs.define
+class LinkCounters:
+    """Bytes sent and received on a link, by purpose."""
+
+    sent_control: int = 0
+    sent_calls: int = 0
+    received_control: int = 0
+    received_calls: int = 0
+
+
+@implementer(interfaces.IPushProducer)
+class Link(protocol.Protocol):
+    """A link to one peer.
+
+    Attributes:
+        is_up: whether messages can be sent.
+        is_opener: whether this node opened the link.
+        address: address that was dialled, or None on the accepting side.
+        counters: bytes sent and received.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        identity: LinkIdentity,
+        events: LinkEvents,
+        address: model.Address | None = None,
+        proxy: model.Address | None = None,
+    ) -> None:
+        self.is_up = False
+        self.is_opener = address is not None
+        self.address = address
+        self.counters = LinkCounters()
+        self._reactor = reactor
+        self._identity = identity
+        self._events = events
+        self._tunnel = proxies.Tunnel(address) if proxy and address else None
+        self._peer: model.Member | None = None
+        self._nonce = os.urandom(greeting.NONCE_BYTES)
+        self._reader = frames.FrameReader()
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
+        self._is_paused = False
+        self._last_received = reactor.seconds()
+        self._heartbeat_call: Any = None
+        self._silence_call: Any = None
+        self._state = lifecycle.make_lifecycle(
+            lifecycle.LinkActions(
+                self._greet, self._announce_up, self._shut_down
+            )
+        )
+
+    @property
+    def peer(self) -> model.Member:
+        """The peer as it introduced itself.
+
+        Raises:
+            LinkError: if the link was never up.
+        """
+        if self._peer is None:
+            raise exceptions.LinkError("closed", "link was never up")
+        return self._peer
+
+    def send(self, message: messages.Message) -> bool:
+        """Sends a message; returns whether the link took it.
+
+        Raises:
+            WireError: if the message does not fit the protocol.
+        """
+        if not self.is_up:
+            return False
+        data = frames.encode_message(message)
+        if frames.is_call_message(message):
+            self.counters.sent_calls += len(data)
+        else:
+            self.counters.sent_control += len(data)
+        self._write(data)
+        return self.is_up
+
+    def close(self, reason: str = "closed by this node") -> None:
+        """Closes the link after what was sent; `on_down` is called now."""
+        self._state.fail(exceptions.LinkError("closed", reason))
+
+    def fail_connect(self, message: str) -> None:
+        """Reports that no connection could be established."""
+        self._state.fail(exceptions.LinkError("connect-failed", message))
+
+    # Twisted's protocol and producer interfaces.
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Starts the greeting, through the proxy's tunnel if there is one."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._last_received = self._reactor.seconds()
+        self._silence_call = self._reactor.callLater(
+            SILENCE_LIMIT_S, self._check_silence
+        )
+        if self._tunnel is not None:
+            self.transport.write(self._tunnel.make_request())
+            return
+        self._state.connect()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles received bytes."""
+        self._last_received = self._reactor.seconds()
+        try:
+            if self._tunnel is not None:
+                data = self._receive_tunnel(data)
+            for message in self._reader.feed(data):
+                self._receive(message)
+        except wire_exceptions.WireError as error:
+            self._state.fail(exceptions.LinkError("malformed", str(error)))
+        except exceptions.LinkError as error:
+            self._state.fail(error)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Takes the link down if it was not closed before."""
+        self._state.fail(exceptions.LinkError("lost", reason.getErrorMessage()))
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The transport has enough unsent bytes."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The transport takes bytes again."""
+        self._is_paused = False
+        self._flush()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection is gone; `connectionLost` follows."""
+
+    # Steps of the lifecycle.
+
+    def _greet(self) -> None:
+        if self.is_opener:
+            self._send_greeting(messages.Hello, b"")
+
+    def _announce_up(self) -> None:
+        self.is_up = True
+        logs.log_event("link.up", peer=self.peer.address)
+        self._beat()
+        self._events.on_up(self)
+
+    def _shut_down(self, error: exceptions.LinkError) -> None:
+        self.is_up = False
+        for call in (self._heartbeat_call, self._silence_call):
+            if call is not None and call.active():
+                call.cancel()
+        peer = self._peer.address if self._peer else self.address
+        logs.log_event("link.down", peer=peer, reason=str(error))
+        if self.transport is not None:
+            self._disconnect(error)
+        self._unsent.clear()
+        self._events.on_down(self, error)
+
+    def _disconnect(self, error: exceptions.LinkError) -> None:
+        if error.reason == "closed" and not self._unsent:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+            return
+        self.transport.abortConnection()
+
+    # Greeting.
+
+    def _send_greeting(self, kind: type, proof: bytes) -> None:
+        identity = self._identity
+        self._write(
+            frames.encode_message(
+                kind(
+                    cluster=identity.cluster,
+                    wire_version=env.WIRE_VERSION,
+                    member=identity.make_member(),
+                    version=identity.current_version(),
+                    proof=proof,
+                    nonce=self._nonce,
+                )
+            )
+        )
+
+    def _receive_tunnel(self, data: bytes) -> bytes:
+        assert self._tunnel is not None
+        rest = self._tunnel.receive(data)
+        if rest is None:
+            return b""
+        self._tunnel = None
+        self._state.connect()
+        return rest
+
+    def _receive(self, message: messages.Message) -> None:
+        if self.is_up:
+            self._events.on_message(self, message)
+            return
+        if self.is_opener and isinstance(message, messages.Welcome):
+            self._receive_welcome(message)
+        elif not self.is_opener and isinstance(message, messages.Hello):
+            self._receive_hello(message)
+        else:
+            raise exceptions.LinkError("malformed", "greeting expected")
+
+    def _receive_hello(self, hello: messages.Hello) -> None:
+        if not hello.proof:
+            secret = self._identity.secrets[0]
+            proof = greeting.make_proof(
+                secret, b"welcome", self._nonce, hello.nonce
+            )
+            # The answer names this node's cluster and version even when the
+            # peer is refused, so that both sides log the cause.
+            self._send_greeting(messages.Welcome, proof)
+            greeting.check_peer(hello, self._identity.cluster)
+            return
+        greeting.check_peer(hello, self._identity.cluster)
+        greeting.check_proof(
+            hello, b"hello", self._nonce, self._identity.secrets
+        )
+        self._peer = hello.member
+        self._state.accept()
+
+    def _receive_welcome(self, welcome: messages.Welcome) -> None:
+        greeting.check_peer(welcome, self._identity.cluster)
+        greeting.check_proof(
+            welcome, b"welcome", self._nonce, self._identity.secrets
+        )
+        proof = greeting.make_proof(
+            self._identity.secrets[0], b"hello", self._nonce, welcome.nonce
+        )
+        self._send_greeting(messages.Hello, proof)
+        self._peer = welcome.member
+        self._state.accept()
+
+    # Timers and writing.
+
+    def _beat(self) -> None:
+        self._heartbeat_call = self._reactor.callLater(
+            HEARTBEAT_INTERVAL_S, self._beat
+        )
+        self.send(self._identity.make_heartbeat())
+
+    def _check_silence(self) -> None:
+        quiet = self._reactor.seconds() - self._last_received
+        if quiet >= SILENCE_LIMIT_S:
+            self._state.fail(
+                exceptions.LinkError("silent", f"no byte for {quiet:.1f} s")
+            )
+            return
+        self._silence_call = self._reactor.callLater(
+            SILENCE_LIMIT_S - quiet, self._check_silence
+        )
+
+    def _write(self, data: bytes) -> None:
+        if not self._is_paused:
+            self.transport.write(data)
+            return
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            self._state.fail(
+                exceptions.LinkError("overflow", "peer does not read")
+            )
+
+    def _flush(self) -> None:
+        data = b"".join(self._unsent)
+        self._unsent.clear()
+        self._unsent_bytes = 0
+        if data:
+            self.transport.write(data)
+
+
+class LinkListener:
+    """Accepts links."""
+
+    def __init__(
+        self, reactor: Any, identity: LinkIdentity, events: LinkEvents
+    ) -> None:
+        self._factory = protocol.Factory.forProtocol(
+            lambda: Link(reactor, identity, events)
+        )
+        self._factory.noisy = False
+        self._port: Any = None
+
+    def start(self, reactor: Any, address: model.Address) -> None:
+        """Listens at the address; raises CannotListenError."""
+        self._port = reactor.listenTCP(
+            address.port, self._factory, backlog=512, interface=address.host
+        )
+
+    @property
+    def address(self) -> model.Address:
+        """The address listened at, with the real port when 0 was asked."""
+        host = self._port.getHost()
+        return model.Address(host.host, host.port)
+
+    def close(self) -> Any:
+        """Stops accepting; returns a Deferred. Links stay as they are."""
+        return self._port.stopListening()
+
+
+def listen_links(
+    reactor: Any,
+    address: model.Address,
+    identity: LinkIdentity,
+    events: LinkEvents,
+) -> LinkListener:
+    """Accepts links at an address.
+
+    Raises:
+        CannotListenError: if the address is in use.
+    """
+    listener = LinkListener(reactor, identity, events)
+    listener.start(reactor, address)
+    return listener
+
+
+class _OpenFactory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    def buildProtocol(self, _address: Any) -> Link:  # noqa: N802
+        return self._link
+
+    def clientConnectionFailed(  # noqa: N802
+        self, _connector: Any, reason: failure.Failure
+    ) -> None:
+        self._link.fail_connect(reason.getErrorMessage())
+
+
+def open_link(
+    reactor: Any,
+    address: model.Address,
+    identity: LinkIdentity,
+    events: LinkEvents,
+    proxy: model.Address | None = None,
+) -> Link:
+    """Opens a link to an address, through an HTTP CONNECT proxy if given."""
+    link = Link(reactor, identity, events, address, proxy)
+    target = proxy or address
+    reactor.connectTCP(
+        target.host,
+        target.port,
+        _OpenFactory(link),
+        timeout=CONNECT_TIMEOUT_S,
+    )
+    return link
--- a/libs/wire/src/filbertlift_wire/frames.py
+++ b/libs/wire/src/filbertlift_wire/frames.py
@@ -13,6 +13,23 @@
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 262_144
 LENGTHS = struct.Struct(">II")
+CALL_MESSAGES = frozenset(
+    (
+        messages.Call,
+        messages.Answer,
+        messages.Chunk,
+        messages.Credit,
+        messages.Cancel,
+        messages.Cancelled,
+        messages.Settle,
+        messages.Settled,
+    )
+)
+
+
+def is_call_message(message: messages.Message) -> bool:
+    """Returns whether a message belongs to a call, not to control."""
+    return type(message) in CALL_MESSAGES
 
 
 def encode_update(message: messages.Update) -> bytes:
