--- /dev/null
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -0,0 +1,274 @@
+"""HTTP server of the call path."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+from filbertlift_core import logs
+from filbertlift_core import model
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from zope.interface import implementer
+
+from filbertlift_transport import http
+from filbertlift_transport import reply as replies
+from filbertlift_transport import requests
+
+Header = http.Header
+Limits = http.Limits
+Request = http.Request
+Reply = replies.Reply
+Handler = Callable[[http.Request, replies.Reply], None]
+SWEEP_INTERVAL_S = 1.0
+_JSON = (http.Header("Content-Type", "application/json"),)
+
+
+@implementer(interfaces.IPushProducer)
+class ServerConnection(protocol.Protocol):
+    """One connection of a caller; requests are answered in order."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.is_full = False
+        self._server = server
+        self._waiting: collections.deque[requests.Parsed] = collections.deque()
+        self._reply: replies.Reply | None = None
+        self._reader: requests.RequestReader
+        # Since when the caller owes the next head, its rest, or a body.
+        self._since = server.read_time()
+        self._was_idle = True
+        self._is_closing = False
+        self._is_reading = True
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Prepares the connection, or refuses one too many."""
+        peer = self.transport.getPeer()
+        self._reader = requests.RequestReader(
+            self._server.limits, model.Address(peer.host, peer.port)
+        )
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        if not self._server.add(self):
+            self._refuse(503, "FL-HTTP-FULL", "too many connections")
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles received bytes."""
+        if self._is_closing:
+            return
+        was = self._phase
+        try:
+            found = self._reader.feed(data)
+        except requests.RefusedError as error:
+            self._refuse(error.status, error.code, error.message)
+            return
+        if found or self._phase != was:
+            self._since = self._server.read_time()
+        if self._reader.wants_continue and self._reply is None:
+            self._reader.wants_continue = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        for parsed in found:
+            self._waiting.append(parsed)
+        self._serve_next()
+
+    def connectionLost(  # noqa: N802
+        self, _reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Tells the handler of the request under way."""
+        self._is_closing = True
+        self._waiting.clear()
+        self._server.remove(self)
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply.drop()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The transport has enough unsent bytes."""
+        self.is_full = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The transport takes bytes again."""
+        self.is_full = False
+        reply = self._reply
+        if reply is not None and reply.on_drained is not None:
+            reply.on_drained()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection is gone; `connectionLost` follows."""
+
+    def end_reply(self, reply: replies.Reply, keep: bool) -> None:
+        """The answer is complete; serves the next request or closes."""
+        if reply is not self._reply:
+            return
+        self._reply = None
+        if not keep or self._server.is_stopping:
+            self._close()
+            return
+        self._since = self._server.read_time()
+        if self._waiting:
+            self._server.reactor.callLater(0, self._serve_next)
+        elif not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
+
+    def check_time(self, now: float) -> None:
+        """Closes the connection of a caller that is too slow or idle."""
+        limits = self._server.limits
+        spent = now - self._since
+        if self._is_closing:
+            # The peer does not read the last answer or does not close.
+            if spent > limits.idle_s:
+                self.transport.abortConnection()
+        elif self._reply is not None:
+            return
+        elif self._reader.is_in_head and spent >= limits.head_s:
+            self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
+        elif self._reader.is_in_body and spent >= limits.body_s:
+            self._refuse(408, "FL-HTTP-SLOW", "request body took too long")
+        elif self._phase == (False, False) and spent >= limits.idle_s:
+            self._close()
+
+    def stop_when_idle(self) -> None:
+        """Closes now when idle, else after the answer under way."""
+        if self._reply is None and not self._waiting:
+            self._close()
+
+    @property
+    def _phase(self) -> tuple[bool, bool]:
+        return self._reader.is_in_head, self._reader.is_in_body
+
+    def _serve_next(self) -> None:
+        if self._reply is not None or self._is_closing or not self._waiting:
+            return
+        parsed = self._waiting.popleft()
+        if self._waiting and self._is_reading:
+            # Requests already received are answered before more are read.
+            self._is_reading = False
+            self.transport.pauseProducing()
+        reply = replies.Reply(
+            connection=self,
+            is_head=parsed.request.method == "HEAD",
+            is_old=parsed.is_old,
+            keep=parsed.keep and not self._server.is_stopping,
+        )
+        self._reply = reply
+        try:
+            self._server.handle(parsed.request, reply)
+        except Exception as error:
+            # A fault of the handler must not take the other callers down.
+            logs.log_event("http.handler-failed", error=repr(error))
+            reply.abort()
+
+    def _refuse(self, status: int, code: str, message: str) -> None:
+        if self._reply is not None:
+            # An answer to an earlier request is under way; nothing that is
+            # not part of it may follow.
+            self._is_closing = True
+            self._reply.close_after()
+            return
+        reply = replies.Reply(
+            connection=self, is_head=False, is_old=False, keep=False
+        )
+        self._reply = reply
+        reply.send(status, _JSON, http.make_error_body(code, message))
+
+    def _close(self) -> None:
+        self._is_closing = True
+        self._since = self._server.read_time()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+
+class HttpServer:
+    """Accepts callers and hands whole requests to a handler.
+
+    Attributes:
+        limits: sizes, counts and times allowed.
+        is_stopping: whether connections close after the present answer.
+    """
+
+    def __init__(self, reactor: Any, handle: Handler, limits: Limits) -> None:
+        self.reactor = reactor
+        self.handle = handle
+        self.limits = limits
+        self.is_stopping = False
+        self.read_time: Callable[[], float] = reactor.seconds
+        self._connections: set[ServerConnection] = set()
+        self._factory = protocol.Factory.forProtocol(
+            lambda: ServerConnection(self)
+        )
+        self._factory.noisy = False
+        self._port: Any = None
+        self._sweep_call = reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
+
+    @classmethod
+    def listen(
+        cls,
+        reactor: Any,
+        address: model.Address,
+        handle: Handler,
+        limits: Limits = Limits(),
+    ) -> "HttpServer":
+        """Starts a server at an address.
+
+        Raises:
+            CannotListenError: if the address is in use.
+        """
+        server = cls(reactor, handle, limits)
+        server.start(address)
+        return server
+
+    def start(self, address: model.Address) -> None:
+        """Listens at the address; raises CannotListenError."""
+        self._port = self.reactor.listenTCP(
+            address.port, self._factory, backlog=1024, interface=address.host
+        )
+
+    def build_connection(self) -> ServerConnection:
+        """Returns the protocol of a new connection."""
+        return ServerConnection(self)
+
+    @property
+    def address(self) -> model.Address:
+        """The address listened at, with the real port when 0 was asked."""
+        host = self._port.getHost()
+        return model.Address(host.host, host.port)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def stop_accepting(self) -> Any:
+        """Accepts no more and closes connections as they become idle.
+
+        Returns a Deferred that fires when the port is closed.
+        """
+        self.is_stopping = True
+        for connection in list(self._connections):
+            connection.stop_when_idle()
+        return self._port.stopListening() if self._port else None
+
+    def close(self) -> None:
+        """Closes every connection at once."""
+        self.is_stopping = True
+        if self._sweep_call.active():
+            self._sweep_call.cancel()
+        if self._port is not None:
+            self._port.stopListening()
+        for connection in list(self._connections):
+            connection.transport.abortConnection()
+
+    def add(self, connection: ServerConnection) -> bool:
+        """Notes a new connection; returns whether it is within the limit."""
+        self._connections.add(connection)
+        return len(self._connections) <= self.limits.connections
+
+    def remove(self, connection: ServerConnection) -> None:
+        """Forgets a connection that is gone."""
+        self._connections.discard(connection)
+
+    def _sweep(self) -> None:
+        self._sweep_call = self.reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
+        now = self.read_time()
+        for connection in list(self._connections):
+            connection.check_time(now)
