--- a/libs/transport/src/filbertlift_transport/client.py
+++ b/libs/transport/src/filbertlift_transport/client.py
@@ -119,6 +119,8 @@
 class ClientConnection(protocol.Protocol):
     """One connection to the target."""
 
+    transport: Any
+
     def __init__(self, pool: "HttpPool", call: ClientCall) -> None:
         self.idle_since = 0.0
         self._pool = pool
--- a/libs/transport/src/filbertlift_transport/datagrams.py
+++ b/libs/transport/src/filbertlift_transport/datagrams.py
@@ -31,6 +31,8 @@
         counters: packets and bytes sent, received and dropped.
     """
 
+    transport: Any
+
     noisy = False
 
     def __init__(self, secrets: tuple[bytes, ...], receive: Receiver) -> None:
--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -71,6 +71,8 @@
         counters: bytes sent and received.
     """
 
+    transport: Any
+
     def __init__(
         self,
         reactor: Any,
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -28,6 +28,8 @@
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; requests are answered in order."""
 
+    transport: Any
+
     def __init__(self, server: "HttpServer") -> None:
         self.is_full = False
         self._server = server
