--- a/libs/config/src/filbertlift_config/snapshot.py
+++ b/libs/config/src/filbertlift_config/snapshot.py
@@ -12,6 +12,19 @@
 from filbertlift_config import section as codec
 
 
+@attrs.frozen(eq=False)
+class Parts:
+    """What a version consists of.
+
+    Attributes:
+        pages: the 64 pages.
+        sections: section by name.
+    """
+
+    pages: tuple[paging.Page, ...]
+    sections: Mapping[str, codec.Section]
+
+
 @attrs.frozen(eq=False)
 class Snapshot:
     """A version with all its pages and sections.
@@ -72,18 +85,8 @@
         Raises:
             SnapshotError: if a part is missing, altered or invalid.
         """
-        decoded = tuple(paging.decode_page(data) for data in pages)
-        if tuple(page.hash for page in decoded) != head.pages:
-            raise exceptions.SnapshotError("pages do not match the head")
-        found: dict[str, codec.Section] = {}
-        for number, page in enumerate(decoded):
-            for name, entry in page.entries.items():
-                if paging.select_page(name) != number:
-                    raise exceptions.SnapshotError(f"{name} is on a wrong page")
-                if entry.version > head.version:
-                    raise exceptions.SnapshotError(f"{name} is from later")
-                found[name] = _take_section(name, entry, contents, base)
-        return verify_snapshot(cls(head, decoded, found))
+        parts = build_parts(head.pages, head.version, pages, contents, base)
+        return verify_snapshot(cls(head, parts.pages, parts.sections))
 
     def advance(
         self,
@@ -117,6 +120,39 @@
         )
 
 
+def build_parts(
+    hashes: tuple[str, ...],
+    version: int,
+    pages: Iterable[bytes],
+    contents: Mapping[str, bytes],
+    base: "Snapshot | None" = None,
+) -> Parts:
+    """Returns the parts of a version, every one verified by its hash.
+
+    Args:
+        hashes: hash of each of the 64 pages.
+        version: number of the version.
+        pages: the encoded pages in order.
+        contents: encoded section by hash.
+        base: an older snapshot whose sections are taken over.
+
+    Raises:
+        SnapshotError: if a part is missing, altered or invalid.
+    """
+    decoded = tuple(paging.decode_page(data) for data in pages)
+    if tuple(page.hash for page in decoded) != hashes:
+        raise exceptions.SnapshotError("pages do not match their hashes")
+    found: dict[str, codec.Section] = {}
+    for number, page in enumerate(decoded):
+        for name, entry in page.entries.items():
+            if paging.select_page(name) != number:
+                raise exceptions.SnapshotError(f"{name} is on a wrong page")
+            if entry.version > version:
+                raise exceptions.SnapshotError(f"{name} is from later")
+            found[name] = _take_section(name, entry, contents, base)
+    return Parts(decoded, found)
+
+
 def _take_section(
     name: str,
     entry: paging.Entry,
--- /dev/null
+++ b/libs/store/src/filbertlift_store/interface.py
@@ -0,0 +1,101 @@
+"""Interface to the platform's key-value service (the store).
+
+What the rest of the code assumes of a store:
+
+- A compare-and-swap is atomic, and a call can take effect long after its
+  caller gave up on it.
+- Revisions grow over the whole store and none is used twice, not even for a
+  key that was deleted and created again.
+- A delete can be bound to a revision, as a compare-and-swap is.
+- A read that started after a write was confirmed sees that write.
+- An answer to a write proves nothing by its absence, and an answer that says
+  that the write failed is not proof either; only the store's content is.
+- A lease may lapse at any time, so nothing that must hold depends on one.
+"""
+
+from collections.abc import Callable
+
+import attrs
+from twisted.internet import defer
+
+from filbertlift_core import exceptions
+
+
+class StoreError(exceptions.FilbertliftError):
+    """Base of the errors of this library."""
+
+    code = "FL-STORE"
+
+
+# The design page names these errors without the suffix Error.
+class StoreUnavailable(StoreError):  # noqa: N818
+    """Certainly not done: the connection failed before anything was sent."""
+
+    code = "FL-STORE-UNAVAILABLE"
+
+
+class StoreUncertain(StoreError):  # noqa: N818
+    """May have been done, or will be: the answer did not arrive in time."""
+
+    code = "FL-STORE-UNCERTAIN"
+
+
+class StoreConflict(StoreError):  # noqa: N818
+    """The store answered that the key has another revision."""
+
+    code = "FL-STORE-CONFLICT"
+
+
+class LeaseLost(StoreError):  # noqa: N818
+    """The lease has lapsed."""
+
+    code = "FL-STORE-LEASE"
+
+
+class StoreIncomplete(StoreError):  # noqa: N818
+    """Parts of a version were missing or damaged at every attempt."""
+
+    code = "FL-STORE-INCOMPLETE"
+
+
+@attrs.frozen
+class Entry:
+    """A value of the store.
+
+    Attributes:
+        value: the bytes.
+        revision: revision of the write that made it.
+    """
+
+    value: bytes
+    revision: int
+
+
+@attrs.frozen
+class Store:
+    """Access to a store; every call ends within a bound.
+
+    A call fails with StoreUnavailable, StoreUncertain, or as stated here.
+
+    Attributes:
+        get: returns the entry of a key, or None when there is none.
+        compare_and_swap: writes a value when the key has the expected
+            revision, 0 for none, and returns the new revision; fails with
+            StoreConflict.
+        delete: deletes a key when it has the expected revision; fails with
+            StoreConflict. A key that is absent counts as deleted.
+        grant_lease: returns the id of a lease of some seconds.
+        keep_lease: extends a lease; fails with LeaseLost.
+        put_leased: writes a value that disappears with the lease, whatever
+            the revision; fails with LeaseLost.
+        watch: returns the entry once its revision is above the given one, or
+            None after the wait in seconds or when the key is absent.
+    """
+
+    get: Callable[[str], "defer.Deferred[Entry | None]"]
+    compare_and_swap: Callable[[str, int, bytes], "defer.Deferred[int]"]
+    delete: Callable[[str, int], "defer.Deferred[None]"]
+    grant_lease: Callable[[float], "defer.Deferred[str]"]
+    keep_lease: Callable[[str], "defer.Deferred[None]"]
+    put_leased: Callable[[str, bytes, str], "defer.Deferred[None]"]
+    watch: Callable[[str, int, float], "defer.Deferred[Entry | None]"]
--- /dev/null
+++ b/libs/store/src/filbertlift_store/snapshots.py
@@ -0,0 +1,253 @@
+"""Versions in the store: loaded whole, or only what an older one lacks."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import Final
+
+import attrs
+from twisted.internet import defer
+
+from filbertlift_config import exceptions
+from filbertlift_config import head as heads
+from filbertlift_config import page as paging
+from filbertlift_config import scalars
+from filbertlift_config import section as codec
+from filbertlift_config import snapshot as snapshot_types
+from filbertlift_store import interface
+from filbertlift_store import names
+
+CONCURRENT_READS: Final = 16
+# A part can be missing when the head that named it is old by now.
+MAX_ATTEMPTS: Final = 3
+MAX_TREE_BYTES: Final = 8_192
+
+EMPTY: Final = snapshot_types.Snapshot.empty()
+# The empty page is never stored; every reader knows it.
+EMPTY_PAGE: Final = EMPTY.pages[0].hash
+_EMPTY_PAGE_DATA: Final = paging.encode_page({})
+
+
+@attrs.frozen
+class Loaded:
+    """A version and the revision of the head that named it.
+
+    Attributes:
+        snapshot: the version; the empty one when there is no head.
+        revision: revision of the head; 0 when there is none.
+    """
+
+    snapshot: snapshot_types.Snapshot
+    revision: int
+
+
+@attrs.frozen
+class _Reader:
+    """Reads parts by hash, from memory when they are known.
+
+    Attributes:
+        store: the store.
+        cluster: name of the cluster.
+        known: encoded pages and sections by hash.
+        base: an older version whose sections need no reading.
+    """
+
+    store: interface.Store
+    cluster: str
+    known: Mapping[str, bytes]
+    base: snapshot_types.Snapshot | None
+
+
+def fetch_snapshot(
+    store: interface.Store,
+    cluster: str,
+    base: snapshot_types.Snapshot | None = None,
+) -> "defer.Deferred[snapshot_types.Snapshot | None]":
+    """Returns the store's version, or None when there is no head.
+
+    Args:
+        store: the store.
+        cluster: name of the cluster.
+        base: an older version; only what it lacks is read. It is returned
+            itself when the store has the same version.
+
+    The Deferred fails with StoreIncomplete, StoreUnavailable or
+    StoreUncertain.
+    """
+
+    def take(loaded: Loaded) -> snapshot_types.Snapshot | None:
+        return loaded.snapshot if loaded.revision else None
+
+    return fetch_current(store, cluster, base).addCallback(take)
+
+
+@defer.inlineCallbacks
+def fetch_current(
+    store: interface.Store,
+    cluster: str,
+    base: snapshot_types.Snapshot | None = None,
+    known: Mapping[str, bytes] | None = None,
+) -> Any:
+    """Returns `Loaded`; as `fetch_snapshot`, with the head's revision.
+
+    Args:
+        store: the store.
+        cluster: name of the cluster.
+        base: an older version whose sections need no reading.
+        known: encoded pages and sections by hash that need no reading.
+    """
+    reader = _Reader(store, cluster, known or {}, base)
+    cause = ""
+    for _ in range(MAX_ATTEMPTS):
+        entry = yield store.get(names.head_key(cluster))
+        if entry is None:
+            return Loaded(EMPTY, 0)
+        try:
+            head = heads.decode_head(entry.value)
+            if base is not None and base.head == head:
+                return Loaded(base, entry.revision)
+            snapshot = yield _load_version(reader, head)
+            return Loaded(snapshot, entry.revision)
+        except exceptions.SnapshotError as error:
+            cause = error.message
+    raise interface.StoreIncomplete(cause)
+
+
+@defer.inlineCallbacks
+def fetch_version(
+    store: interface.Store,
+    cluster: str,
+    record: heads.VersionRecord,
+    base: snapshot_types.Snapshot | None = None,
+) -> Any:
+    """Returns the `Parts` of a version in the history of a head.
+
+    The Deferred fails with StoreIncomplete when parts are missing.
+    """
+    reader = _Reader(store, cluster, {}, base)
+    try:
+        hashes = yield fetch_tree(store, cluster, record.root)
+        parts = yield _load_parts(reader, hashes, record.version)
+        return parts
+    except exceptions.SnapshotError as error:
+        raise interface.StoreIncomplete(error.message) from error
+
+
+@defer.inlineCallbacks
+def fetch_tree(store: interface.Store, cluster: str, root: str) -> Any:
+    """Returns the page hashes of the versions with this root.
+
+    The Deferred fails with SnapshotError when they are missing or altered.
+    """
+    entry = yield store.get(names.tree_key(cluster, root))
+    if entry is None:
+        raise exceptions.SnapshotError(f"tree {root} is missing")
+    return decode_tree(entry.value, root)
+
+
+def encode_tree(hashes: tuple[str, ...]) -> bytes:
+    """Returns the bytes under the key of a tree."""
+    return codec.encode_canonical({"pages": list(hashes)})
+
+
+def decode_tree(data: bytes, root: str) -> tuple[str, ...]:
+    """Returns the page hashes with this root; raises SnapshotError."""
+    content = codec.decode_object(
+        data, MAX_TREE_BYTES, exceptions.SnapshotError
+    )
+    pages = content.get("pages")
+    if not isinstance(pages, list) or len(pages) != paging.PAGES:
+        raise exceptions.SnapshotError("not a tree")
+    hashes = tuple(scalars.check_hash(page) for page in pages)
+    if heads.hash_pages(hashes) != root:
+        raise exceptions.SnapshotError(f"tree {root} is altered")
+    return hashes
+
+
+@defer.inlineCallbacks
+def fetch_page(store: interface.Store, cluster: str, digest: str) -> Any:
+    """Returns a page; fails with SnapshotError when missing or altered."""
+    reader = _Reader(store, cluster, {}, None)
+    data = yield _read_part(reader, names.page_key(cluster, digest), digest)
+    return paging.decode_page(data)
+
+
+@defer.inlineCallbacks
+def _load_version(reader: _Reader, head: heads.Head) -> Any:
+    parts = yield _load_parts(reader, head.pages, head.version)
+    return snapshot_types.verify_snapshot(
+        snapshot_types.Snapshot(head, parts.pages, parts.sections)
+    )
+
+
+@defer.inlineCallbacks
+def _load_parts(reader: _Reader, hashes: tuple[str, ...], version: int) -> Any:
+    pages = yield _read_all(reader, hashes, names.page_key)
+    wanted = []
+    for page in map(paging.decode_page, pages.values()):
+        wanted += _list_missing(reader, page)
+    contents = yield _read_all(reader, wanted, names.section_key)
+    return snapshot_types.build_parts(
+        hashes,
+        version,
+        [pages[digest] for digest in hashes],
+        contents,
+        reader.base,
+    )
+
+
+def _list_missing(reader: _Reader, page: paging.Page) -> list[str]:
+    """Returns the hashes of the sections that the base lacks."""
+    if reader.base is None:
+        return [entry.hash for entry in page.entries.values()]
+    missing = []
+    for name, entry in page.entries.items():
+        held = reader.base.get_entry(name)
+        if held is None or held.hash != entry.hash:
+            missing.append(entry.hash)
+    return missing
+
+
+@defer.inlineCallbacks
+def _read_all(
+    reader: _Reader,
+    digests: Iterable[str],
+    make_key: Callable[[str, str], str],
+) -> Any:
+    """Returns the parts by hash, read a bounded number at a time."""
+    wanted = sorted(set(digests))
+    limit = defer.DeferredSemaphore(CONCURRENT_READS)
+    reads = [
+        limit.run(_read_part, reader, make_key(reader.cluster, digest), digest)
+        for digest in wanted
+    ]
+    try:
+        parts = yield defer.gatherResults(reads, consumeErrors=True)
+    except defer.FirstError as first:
+        first.subFailure.raiseException()
+    return dict(zip(wanted, parts, strict=True))
+
+
+@defer.inlineCallbacks
+def _read_part(reader: _Reader, key: str, digest: str) -> Any:
+    data = _find_known(reader, digest)
+    if data is not None:
+        return data
+    entry = yield reader.store.get(key)
+    if entry is None or codec.hash_bytes(entry.value) != digest:
+        raise exceptions.SnapshotError(f"{key} is missing or altered")
+    return entry.value
+
+
+def _find_known(reader: _Reader, digest: str) -> bytes | None:
+    if digest == EMPTY_PAGE:
+        return _EMPTY_PAGE_DATA
+    if digest in reader.known:
+        return reader.known[digest]
+    if reader.base is None:
+        return None
+    for page in reader.base.pages:
+        if page.hash == digest:
+            return paging.encode_page(page.entries)
+    return None
