Move the store's errors and keys to where the node looks for them

Cause: the node catches errors of filbertlift_store.exceptions and cancels pending calls; a cancelled call looked like a lost answer. Change: errors have their own module, keys are part of the interface, and a cancelled call fails with CancelledError.

--- a/libs/store/src/filbertlift_store/cleanup.py
+++ b/libs/store/src/filbertlift_store/cleanup.py
@@ -1,4 +1,4 @@
-"""Clean-up: deletes parts that no version of the history names.
+"""Clean-up: deletes parts that no version of the history interface.
 
 The journal in the store lists the parts that each version dropped. A part is
 deleted when the version that dropped it has left the history or is its oldest
@@ -20,13 +20,13 @@
 import attrs
 from twisted.internet import defer
 
-from filbertlift_config import exceptions
+from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import head as heads
 from filbertlift_config import page as paging
 from filbertlift_config import section as codec
 from filbertlift_core import env
+from filbertlift_store import exceptions
 from filbertlift_store import interface
-from filbertlift_store import names
 from filbertlift_store import snapshots
 
 # Clean-up runs after one publication in this many, so that it notes every
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class Drop:
-    """Parts that a version no longer names.
+    """Parts that a version no longer interface.
 
     Attributes:
         version: the version.
@@ -83,11 +83,11 @@
 
     The Deferred fails with StoreError; another clean-up then takes it up.
     """
-    entry = yield store.get(names.head_key(cluster))
+    entry = yield store.get(interface.head_key(cluster))
     if entry is None:
         return 0
     head = heads.decode_head(entry.value)
-    held = yield store.get(names.journal_key(cluster))
+    held = yield store.get(interface.journal_key(cluster))
     journal = decode_journal(held.value) if held is not None else Journal()
     journal = yield _note_versions(store, cluster, head, journal, now_s)
     due = select_due(journal, head, now_s)
@@ -97,7 +97,7 @@
     journal = remove_keys(journal, deleted)
     revision = held.revision if held is not None else 0
     yield store.compare_and_swap(
-        names.journal_key(cluster), revision, encode_journal(journal)
+        interface.journal_key(cluster), revision, encode_journal(journal)
     )
     return len(deleted)
 
@@ -137,7 +137,7 @@
         journal: the journal through the version before.
         version: the version to note.
         before: keys of the parts that the version before named.
-        after: keys of the parts that the version names.
+        after: keys of the parts that the version interface.
         now_s: seconds since the epoch.
     """
     journal = remove_keys(journal, after)
@@ -191,14 +191,14 @@
     def list_keys(self, root: str) -> Any:
         """Returns the keys of the parts of the versions with a root."""
         hashes = yield snapshots.fetch_tree(self.store, self.cluster, root)
-        listed = {names.tree_key(self.cluster, root): None}
+        listed = {interface.tree_key(self.cluster, root): None}
         for digest in hashes:
             if digest == snapshots.EMPTY_PAGE:
                 continue
-            listed[names.page_key(self.cluster, digest)] = None
+            listed[interface.page_key(self.cluster, digest)] = None
             page = yield self._get_page(digest)
             for entry in page.entries.values():
-                listed[names.section_key(self.cluster, entry.hash)] = None
+                listed[interface.section_key(self.cluster, entry.hash)] = None
         return listed
 
     @defer.inlineCallbacks
@@ -227,12 +227,12 @@
             revisions[key] = entry.revision
     # No publication that began before this write can succeed after it.
     yield store.compare_and_swap(
-        names.head_key(cluster), head.revision, head.value
+        interface.head_key(cluster), head.revision, head.value
     )
     for key, revision in revisions.items():
         try:
             yield store.delete(key, revision)
-        except interface.StoreError:
+        except exceptions.StoreError:
             continue
         gone.add(key)
     return gone
@@ -254,7 +254,7 @@
 def decode_journal(data: bytes) -> Journal:
     """Returns the journal in these bytes; raises SnapshotError."""
     content = codec.decode_object(
-        data, env.MAX_STORE_VALUE_BYTES, exceptions.SnapshotError
+        data, env.MAX_STORE_VALUE_BYTES, config_exceptions.SnapshotError
     )
     try:
         drops = tuple(
@@ -263,4 +263,4 @@
         )
         return Journal(int(content["through"]), drops)
     except (KeyError, TypeError, ValueError, OverflowError) as error:
-        raise exceptions.SnapshotError("not a journal") from error
+        raise config_exceptions.SnapshotError("not a journal") from error
--- a/libs/store/src/filbertlift_store/http.py
+++ b/libs/store/src/filbertlift_store/http.py
@@ -13,6 +13,7 @@
 from twisted.web import client
 
 from filbertlift_core import env
+from filbertlift_store import exceptions
 from filbertlift_store import interface
 
 REQUEST_TIMEOUT_S: Final = 5.0
@@ -113,11 +114,35 @@
         answer = exchange(request)
         answer.addTimeout(request.timeout_s, reactor)
         answer.addErrback(_translate, request)
-        return answer
+        return _make_cancellable(answer)
 
     return ask
 
 
+def _make_cancellable(
+    answer: "defer.Deferred[_Answer]",
+) -> "defer.Deferred[_Answer]":
+    """Returns a Deferred that fails with CancelledError when cancelled.
+
+    The failure of a cancelled request would look like a lost answer, after
+    which a caller tries again.
+    """
+    abandoned = False
+
+    def cancel(_outer: "defer.Deferred[_Answer]") -> None:
+        nonlocal abandoned
+        abandoned = True
+        answer.cancel()
+
+    def pass_on(result: Any) -> None:
+        if not abandoned:
+            outer.callback(result)
+
+    outer: defer.Deferred[_Answer] = defer.Deferred(cancel)
+    answer.addBoth(pass_on)
+    return outer
+
+
 def _read_body(response: Any) -> "defer.Deferred[bytes]":
     """Returns the body; fails when it is longer than a value may be."""
     parts: list[bytes] = []
@@ -138,17 +163,17 @@
     """Returns the failure as an error of this library."""
     text = f"{request.method} {request.path}: {reason.getErrorMessage()}"
     if reason.check(*_NEVER_SENT):
-        return failure.Failure(interface.StoreUnavailable(text))
-    return failure.Failure(interface.StoreUncertain(text))
+        return failure.Failure(exceptions.StoreUnavailable(text))
+    return failure.Failure(exceptions.StoreUncertain(text))
 
 
 def _key_path(key: str) -> str:
     return "/v1/keys/" + parse.quote(key)
 
 
-def _refuse(request: _Request, answer: _Answer) -> interface.StoreError:
+def _refuse(request: _Request, answer: _Answer) -> exceptions.StoreError:
     """Returns the error for a status that says nothing certain."""
-    return interface.StoreUncertain(
+    return exceptions.StoreUncertain(
         f"{request.method} {request.path}: status {answer.status}"
     )
 
@@ -166,7 +191,7 @@
 def _read_revision(answer: _Answer, request: _Request) -> int:
     text = answer.revision
     if not (text.isascii() and text.isdigit() and len(text) < 20):
-        raise interface.StoreUncertain(
+        raise exceptions.StoreUncertain(
             f"{request.method} {request.path}: no valid revision"
         )
     return int(text)
@@ -174,7 +199,7 @@
 
 def _check_write(answer: _Answer, request: _Request) -> None:
     if answer.status in _CONFLICTS:
-        raise interface.StoreConflict(
+        raise exceptions.StoreConflict(
             f"{request.path} has revision {answer.revision or 'unknown'}"
         )
     if answer.status != 200:
@@ -201,7 +226,7 @@
     ) -> "defer.Deferred[int]":
         on_call("compare_and_swap")
         if len(value) > env.MAX_STORE_VALUE_BYTES:
-            return defer.fail(interface.StoreError(f"{key}: value too long"))
+            return defer.fail(exceptions.StoreError(f"{key}: value too long"))
         params = {"revision": str(expected)}
         request = _Request("PUT", _key_path(key), params, value, timeout_s)
 
@@ -251,7 +276,7 @@
 
 def _check_leased(answer: _Answer, request: _Request) -> None:
     if answer.status in _LEASE_LOST:
-        raise interface.LeaseLost(f"{request.path}: the lease has lapsed")
+        raise exceptions.LeaseLost(f"{request.path}: the lease has lapsed")
     if answer.status != 200:
         raise _refuse(request, answer)
 
--- a/libs/store/src/filbertlift_store/interface.py
+++ b/libs/store/src/filbertlift_store/interface.py
@@ -18,44 +18,7 @@
 import attrs
 from twisted.internet import defer
 
-from filbertlift_core import exceptions
-
-
-class StoreError(exceptions.FilbertliftError):
-    """Base of the errors of this library."""
-
-    code = "FL-STORE"
-
-
-# The design page names these errors without the suffix Error.
-class StoreUnavailable(StoreError):  # noqa: N818
-    """Certainly not done: the connection failed before anything was sent."""
-
-    code = "FL-STORE-UNAVAILABLE"
-
-
-class StoreUncertain(StoreError):  # noqa: N818
-    """May have been done, or will be: the answer did not arrive in time."""
-
-    code = "FL-STORE-UNCERTAIN"
-
-
-class StoreConflict(StoreError):  # noqa: N818
-    """The store answered that the key has another revision."""
-
-    code = "FL-STORE-CONFLICT"
-
-
-class LeaseLost(StoreError):  # noqa: N818
-    """The lease has lapsed."""
-
-    code = "FL-STORE-LEASE"
-
-
-class StoreIncomplete(StoreError):  # noqa: N818
-    """Parts of a version were missing or damaged at every attempt."""
-
-    code = "FL-STORE-INCOMPLETE"
+from filbertlift_config import keys
 
 
 @attrs.frozen
@@ -99,3 +62,41 @@
     keep_lease: Callable[[str], "defer.Deferred[None]"]
     put_leased: Callable[[str, bytes, str], "defer.Deferred[None]"]
     watch: Callable[[str, int, float], "defer.Deferred[Entry | None]"]
+
+
+def _make_key(cluster: str, *parts: str) -> str:
+    return "/".join(("filbertlift", keys.check_name(cluster), *parts))
+
+
+def head_key(cluster: str) -> str:
+    """Returns the key of the head.
+
+    Raises:
+        ValueError: if the cluster's name is not allowed, as in all of these.
+    """
+    return _make_key(cluster, "head")
+
+
+def tree_key(cluster: str, root: str) -> str:
+    """Returns the key of the page hashes of the versions with this root."""
+    return _make_key(cluster, "tree", root)
+
+
+def page_key(cluster: str, digest: str) -> str:
+    """Returns the key of a page."""
+    return _make_key(cluster, "page", digest)
+
+
+def section_key(cluster: str, digest: str) -> str:
+    """Returns the key of a section."""
+    return _make_key(cluster, "section", digest)
+
+
+def roster_key(cluster: str, data_centre: str) -> str:
+    """Returns the key of the roster of a data centre."""
+    return _make_key(cluster, "roster", keys.check_name(data_centre))
+
+
+def journal_key(cluster: str) -> str:
+    """Returns the key of the parts that are to be deleted later."""
+    return _make_key(cluster, "journal")
--- a/libs/store/src/filbertlift_store/publisher.py
+++ b/libs/store/src/filbertlift_store/publisher.py
@@ -15,8 +15,8 @@
 from filbertlift_config import publication as planning
 from filbertlift_config import section as codec
 from filbertlift_config import snapshot as snapshot_types
+from filbertlift_store import exceptions
 from filbertlift_store import interface
-from filbertlift_store import names
 from filbertlift_store import snapshots
 
 MAX_ATTEMPTS: Final = 40
@@ -154,7 +154,7 @@
     for attempt in range(MAX_ATTEMPTS):
         try:
             result = yield _attempt(store, request, progress)
-        except interface.StoreError as error:
+        except exceptions.StoreError as error:
             progress.trouble = str(error)
             result = None
         if result is not None:
@@ -262,15 +262,15 @@
     progress.open = _Attempt(loaded.revision, wanted.version)
     try:
         yield store.compare_and_swap(
-            names.head_key(request.cluster),
+            interface.head_key(request.cluster),
             loaded.revision,
             heads.encode_head(wanted.head),
         )
-    except interface.StoreUnavailable:
+    except exceptions.StoreUnavailable:
         # An earlier write at this revision may still take effect, so the
         # attempt is closed only by the head, like every other.
         raise
-    except interface.StoreConflict as error:
+    except exceptions.StoreConflict as error:
         # The answer may be wrong; the head tells at the next attempt.
         progress.trouble = str(error)
         return False
@@ -316,8 +316,8 @@
         parts.update(_collect_sections(cluster, before, after, new))
         if after.hash != snapshots.EMPTY_PAGE:
             data = paging.encode_page(after.entries)
-            parts[names.page_key(cluster, after.hash)] = data
-    key = names.tree_key(cluster, new.root)
+            parts[interface.page_key(cluster, after.hash)] = data
+    key = interface.tree_key(cluster, new.root)
     parts[key] = snapshots.encode_tree(new.head.pages)
     return parts
 
@@ -330,7 +330,7 @@
 ) -> dict[str, bytes]:
     held = {entry.hash for entry in before.entries.values()}
     return {
-        names.section_key(cluster, entry.hash): codec.encode_section(
+        interface.section_key(cluster, entry.hash): codec.encode_section(
             new.sections[name]
         )
         for name, entry in after.entries.items()
@@ -349,10 +349,10 @@
     for _ in range(_TOUCH_ATTEMPTS):
         try:
             yield store.compare_and_swap(key, expected, data)
-        except interface.StoreConflict:
+        except exceptions.StoreConflict:
             entry = yield store.get(key)
             expected = entry.revision if entry is not None else 0
             continue
         touched.add(key)
         return
-    raise interface.StoreUncertain(f"{key} is written by others all the time")
+    raise exceptions.StoreUncertain(f"{key} is written by others all the time")
--- a/libs/store/src/filbertlift_store/roster.py
+++ b/libs/store/src/filbertlift_store/roster.py
@@ -10,10 +10,10 @@
 
 from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import section as codec
-from filbertlift_core import exceptions
+from filbertlift_core import exceptions as core_exceptions
 from filbertlift_core import model
+from filbertlift_store import exceptions
 from filbertlift_store import interface
-from filbertlift_store import names
 
 MAX_ADDRESSES: Final = 16
 MAX_ROSTER_BYTES: Final = 4_096
@@ -57,7 +57,7 @@
         if not isinstance(rows, list):
             return ()
         addresses = [model.Address.parse(str(row)) for row in rows]
-    except exceptions.FilbertliftError:
+    except core_exceptions.FilbertliftError:
         return ()
     return tuple(addresses[:MAX_ADDRESSES])
 
@@ -65,7 +65,7 @@
 @defer.inlineCallbacks
 def read_roster(store: interface.Store, cluster: str, data_centre: str) -> Any:
     """Returns the addresses in a roster; fails with StoreError."""
-    entry = yield store.get(names.roster_key(cluster, data_centre))
+    entry = yield store.get(interface.roster_key(cluster, data_centre))
     return decode_roster(entry.value) if entry is not None else ()
 
 
@@ -102,7 +102,7 @@
         alive = yield self._keep_lease()
         if alive and wanted == held:
             return False
-        key = names.roster_key(self.cluster, self.data_centre)
+        key = interface.roster_key(self.cluster, self.data_centre)
         yield self.store.put_leased(key, encode_roster(wanted), self._lease)
         return True
 
@@ -113,7 +113,7 @@
             try:
                 yield self.store.keep_lease(self._lease)
                 return True
-            except interface.LeaseLost:
+            except exceptions.LeaseLost:
                 self._lease = ""
         self._lease = yield self.store.grant_lease(LEASE_TTL_S)
         return False
--- a/libs/store/src/filbertlift_store/snapshots.py
+++ b/libs/store/src/filbertlift_store/snapshots.py
@@ -9,14 +9,14 @@
 import attrs
 from twisted.internet import defer
 
-from filbertlift_config import exceptions
+from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import head as heads
 from filbertlift_config import page as paging
 from filbertlift_config import scalars
 from filbertlift_config import section as codec
 from filbertlift_config import snapshot as snapshot_types
+from filbertlift_store import exceptions
 from filbertlift_store import interface
-from filbertlift_store import names
 
 CONCURRENT_READS: Final = 16
 # A part can be missing when the head that named it is old by now.
@@ -100,7 +100,7 @@
     reader = _Reader(store, cluster, known or {}, base)
     cause = ""
     for _ in range(MAX_ATTEMPTS):
-        entry = yield store.get(names.head_key(cluster))
+        entry = yield store.get(interface.head_key(cluster))
         if entry is None:
             return Loaded(EMPTY, 0)
         try:
@@ -109,9 +109,9 @@
                 return Loaded(base, entry.revision)
             snapshot = yield _load_version(reader, head)
             return Loaded(snapshot, entry.revision)
-        except exceptions.SnapshotError as error:
+        except config_exceptions.SnapshotError as error:
             cause = error.message
-    raise interface.StoreIncomplete(cause)
+    raise exceptions.StoreIncomplete(cause)
 
 
 @defer.inlineCallbacks
@@ -130,8 +130,8 @@
         hashes = yield fetch_tree(store, cluster, record.root)
         parts = yield _load_parts(reader, hashes, record.version)
         return parts
-    except exceptions.SnapshotError as error:
-        raise interface.StoreIncomplete(error.message) from error
+    except config_exceptions.SnapshotError as error:
+        raise exceptions.StoreIncomplete(error.message) from error
 
 
 @defer.inlineCallbacks
@@ -140,9 +140,9 @@
 
     The Deferred fails with SnapshotError when they are missing or altered.
     """
-    entry = yield store.get(names.tree_key(cluster, root))
+    entry = yield store.get(interface.tree_key(cluster, root))
     if entry is None:
-        raise exceptions.SnapshotError(f"tree {root} is missing")
+        raise config_exceptions.SnapshotError(f"tree {root} is missing")
     return decode_tree(entry.value, root)
 
 
@@ -154,14 +154,14 @@
 def decode_tree(data: bytes, root: str) -> tuple[str, ...]:
     """Returns the page hashes with this root; raises SnapshotError."""
     content = codec.decode_object(
-        data, MAX_TREE_BYTES, exceptions.SnapshotError
+        data, MAX_TREE_BYTES, config_exceptions.SnapshotError
     )
     pages = content.get("pages")
     if not isinstance(pages, list) or len(pages) != paging.PAGES:
-        raise exceptions.SnapshotError("not a tree")
+        raise config_exceptions.SnapshotError("not a tree")
     hashes = tuple(scalars.check_hash(page) for page in pages)
     if heads.hash_pages(hashes) != root:
-        raise exceptions.SnapshotError(f"tree {root} is altered")
+        raise config_exceptions.SnapshotError(f"tree {root} is altered")
     return hashes
 
 
@@ -169,7 +169,7 @@
 def fetch_page(store: interface.Store, cluster: str, digest: str) -> Any:
     """Returns a page; fails with SnapshotError when missing or altered."""
     reader = _Reader(store, cluster, {}, None)
-    data = yield _read_part(reader, names.page_key(cluster, digest), digest)
+    data = yield _read_part(reader, interface.page_key(cluster, digest), digest)
     return paging.decode_page(data)
 
 
@@ -183,11 +183,11 @@
 
 @defer.inlineCallbacks
 def _load_parts(reader: _Reader, hashes: tuple[str, ...], version: int) -> Any:
-    pages = yield _read_all(reader, hashes, names.page_key)
+    pages = yield _read_all(reader, hashes, interface.page_key)
     wanted = []
     for page in map(paging.decode_page, pages.values()):
         wanted += _list_missing(reader, page)
-    contents = yield _read_all(reader, wanted, names.section_key)
+    contents = yield _read_all(reader, wanted, interface.section_key)
     return snapshot_types.build_parts(
         hashes,
         version,
@@ -236,7 +236,7 @@
         return data
     entry = yield reader.store.get(key)
     if entry is None or codec.hash_bytes(entry.value) != digest:
-        raise exceptions.SnapshotError(f"{key} is missing or altered")
+        raise config_exceptions.SnapshotError(f"{key} is missing or altered")
     return entry.value
 
 
