--- /dev/null
+++ b/libs/cli/src/filbertlift_cli/base.py
@@ -0,0 +1,126 @@
+"""Base file: which version of each section the files of a tree came from.
+
+`filbertlift.base` lies at the top of the tree and belongs into version
+control with it. It tells a section that the operator changed from one that
+others published since.
+"""
+
+from collections.abc import Mapping
+import json
+import os
+import pathlib
+from typing import Any
+from typing import Final
+
+from filbertlift_config import exceptions
+from filbertlift_config import page as paging
+from filbertlift_config import publication as planning
+from filbertlift_config import scalars
+from filbertlift_config import section as codec
+from filbertlift_core import exceptions as core_exceptions
+
+BASE_NAME: Final = "filbertlift.base"
+MAX_BASE_BYTES: Final = 4_000_000
+
+
+class BaseFileError(core_exceptions.FilbertliftError):
+    """The base file cannot be used."""
+
+    code = "FL-BASE-FILE"
+
+
+def read_base(root: pathlib.Path, cluster: str) -> planning.Base | None:
+    """Returns the base of a tree, or None when it has none.
+
+    Raises:
+        BaseFileError: if the file is not valid or is for another cluster.
+    """
+    path = root / BASE_NAME
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        raise BaseFileError(f"{path}: {error.strerror}") from error
+    try:
+        return decode_base(data, cluster)
+    except exceptions.SnapshotError as error:
+        raise BaseFileError(f"{path}: {error.message}") from error
+
+
+def decode_base(data: bytes, cluster: str) -> planning.Base:
+    """Returns the base in these bytes; raises SnapshotError."""
+    content = codec.decode_object(
+        data, MAX_BASE_BYTES, exceptions.SnapshotError
+    )
+    if content.get("cluster") != cluster:
+        raise exceptions.SnapshotError(
+            f"is for cluster {content.get('cluster')!r}, not {cluster!r}"
+        )
+    version = content.get("version")
+    if version != 0:
+        version = scalars.check_version(version)
+    return planning.Base(version, _decode_entries(content.get("sections")))
+
+
+def _decode_entries(rows: Any) -> dict[str, paging.Entry]:
+    if not isinstance(rows, dict):
+        raise exceptions.SnapshotError("has no sections")
+    entries = {}
+    for name, row in rows.items():
+        if not isinstance(row, list) or len(row) != 2:
+            raise exceptions.SnapshotError(f"{name!r} has no hash and version")
+        entries[scalars.check_name(name)] = paging.Entry(
+            scalars.check_hash(row[0]), scalars.check_version(row[1])
+        )
+    return entries
+
+
+def encode_base(base: planning.Base, cluster: str) -> bytes:
+    """Returns the bytes of a base file, one section a line for diffs."""
+    content = {
+        "cluster": cluster,
+        "version": base.version,
+        "sections": {
+            name: [entry.hash, entry.version]
+            for name, entry in base.entries.items()
+        },
+    }
+    text = json.dumps(content, sort_keys=True, indent=1)
+    return text.encode("ascii") + b"\n"
+
+
+def write_base(root: pathlib.Path, base: planning.Base, cluster: str) -> None:
+    """Replaces the base file of a tree at once.
+
+    Raises:
+        BaseFileError: if it cannot be written.
+    """
+    path = root / BASE_NAME
+    draft = root / (BASE_NAME + ".new")
+    try:
+        draft.write_bytes(encode_base(base, cluster))
+        os.replace(draft, path)
+    except OSError as error:
+        raise BaseFileError(f"{path}: {error.strerror}") from error
+
+
+def advance_base(
+    base: planning.Base,
+    wanted: Mapping[str, codec.Section | None],
+    version: int,
+) -> planning.Base:
+    """Returns the base after the wanted sections were accepted.
+
+    Sections that others changed keep their old entry: the files of the tree
+    do not have that change.
+    """
+    entries = dict(base.entries)
+    for name, section in wanted.items():
+        if section is None:
+            entries.pop(name, None)
+            continue
+        digest = codec.hash_bytes(codec.encode_section(section))
+        if base.get_hash(name) != digest:
+            entries[name] = paging.Entry(digest, version)
+    return planning.Base(version, entries)
--- a/libs/store/src/filbertlift_store/publisher.py
+++ b/libs/store/src/filbertlift_store/publisher.py
@@ -11,29 +11,25 @@
 
 from filbertlift_config import file
 from filbertlift_config import head as heads
-from filbertlift_config import page as paging
 from filbertlift_config import publication as planning
 from filbertlift_config import section as codec
 from filbertlift_config import snapshot as snapshot_types
 from filbertlift_store import exceptions
 from filbertlift_store import interface
+from filbertlift_store import parts
+from filbertlift_store import retries
 from filbertlift_store import snapshots
 
 MAX_ATTEMPTS: Final = 40
-GIVE_UP_AFTER_S: Final = 60.0
-FIRST_DELAY_S: Final = 0.05
-MAX_DELAY_S: Final = 4.0
-CONCURRENT_WRITES: Final = 8
-# A part that other publishers touch at the same time is tried this often.
-_TOUCH_ATTEMPTS: Final = 5
 
 
 @attrs.frozen
 class Accepted:
-    """The wanted sections hold since a version.
+    """The publication is part of a version.
 
     Attributes:
-        version: the version, or the current one when nothing had to change.
+        version: the version, or the current one when the wanted sections are
+            those of the base, so that nothing had to change.
         changed: names of the changed sections, sorted.
     """
 
@@ -121,16 +117,13 @@
         base: what the wanted sections were made from, once it is known.
         open: a write of the head that may still take effect.
         held: the last version that was loaded.
-        touched: keys written since the head had `touched_at`.
-        touched_at: revision of the head.
         trouble: what last went wrong.
     """
 
+    writer: parts.PartWriter
     base: planning.Base | None
     open: _Attempt | None = None
     held: snapshot_types.Snapshot | None = None
-    touched: set[str] = attrs.field(factory=set)
-    touched_at: int = -1
     trouble: str = ""
 
 
@@ -149,7 +142,8 @@
         clock: a reactor or a clock with `seconds` and `callLater`.
         rng: random numbers for the delays.
     """
-    progress = _Progress(request.base)
+    writer = parts.PartWriter(store, request.cluster)
+    progress = _Progress(writer, request.base)
     started = clock.seconds()
     for attempt in range(MAX_ATTEMPTS):
         try:
@@ -159,19 +153,13 @@
             result = None
         if result is not None:
             return result
-        delay_s = compute_delay(attempt, rng)
-        if clock.seconds() - started + delay_s > GIVE_UP_AFTER_S:
+        delay_s = retries.compute_delay(attempt, rng)
+        if clock.seconds() - started + delay_s > retries.GIVE_UP_AFTER_S:
             break
         yield task.deferLater(clock, delay_s)
     return _give_up(request, progress)
 
 
-def compute_delay(attempt: int, rng: random.Random) -> float:
-    """Returns the seconds to wait after an attempt, the first being 0."""
-    longest = min(MAX_DELAY_S, FIRST_DELAY_S * 2.0**attempt)
-    return longest * rng.uniform(0.5, 1.0)
-
-
 @defer.inlineCallbacks
 def _attempt(
     store: interface.Store, request: Request, progress: _Progress
@@ -198,7 +186,7 @@
         return _refuse(request, progress, found)
     if not plan.changes:
         return Accepted(loaded.snapshot.version)
-    yield _write_parts(store, request.cluster, progress, loaded, plan.snapshot)
+    yield progress.writer.write(loaded, plan.snapshot)
     accepted = Accepted(plan.snapshot.version, tuple(sorted(plan.changes)))
     written = yield _write_head(store, request, progress, loaded, plan.snapshot)
     return accepted if written else None
@@ -259,6 +247,7 @@
     wanted: snapshot_types.Snapshot,
 ) -> Any:
     """Returns whether the head was written; raises when that is not known."""
+    earlier = progress.open
     progress.open = _Attempt(loaded.revision, wanted.version)
     try:
         yield store.compare_and_swap(
@@ -267,92 +256,11 @@
             heads.encode_head(wanted.head),
         )
     except exceptions.StoreUnavailable:
-        # An earlier write at this revision may still take effect, so the
-        # attempt is closed only by the head, like every other.
+        # This write was not sent, but an earlier one may still take effect.
+        progress.open = earlier
         raise
     except exceptions.StoreConflict as error:
         # The answer may be wrong; the head tells at the next attempt.
         progress.trouble = str(error)
         return False
     return True
-
-
-@defer.inlineCallbacks
-def _write_parts(
-    store: interface.Store,
-    cluster: str,
-    progress: _Progress,
-    loaded: snapshots.Loaded,
-    wanted: snapshot_types.Snapshot,
-) -> Any:
-    """Writes every part that the current version does not name.
-
-    Parts are written again after each change of the head, since clean-up
-    deletes only what was not written after the head that it saw.
-    """
-    if progress.touched_at != loaded.revision:
-        progress.touched.clear()
-        progress.touched_at = loaded.revision
-    parts = collect_parts(cluster, loaded.snapshot, wanted)
-    limit = defer.DeferredSemaphore(CONCURRENT_WRITES)
-    writes = [
-        limit.run(_touch, store, key, data, progress.touched)
-        for key, data in parts.items()
-    ]
-    try:
-        yield defer.gatherResults(writes, consumeErrors=True)
-    except defer.FirstError as first:
-        first.subFailure.raiseException()
-
-
-def collect_parts(
-    cluster: str, old: snapshot_types.Snapshot, new: snapshot_types.Snapshot
-) -> dict[str, bytes]:
-    """Returns the parts by key that the new version names and the old not."""
-    parts: dict[str, bytes] = {}
-    for before, after in zip(old.pages, new.pages, strict=True):
-        if before.hash == after.hash:
-            continue
-        parts.update(_collect_sections(cluster, before, after, new))
-        if after.hash != snapshots.EMPTY_PAGE:
-            data = paging.encode_page(after.entries)
-            parts[interface.page_key(cluster, after.hash)] = data
-    key = interface.tree_key(cluster, new.root)
-    parts[key] = snapshots.encode_tree(new.head.pages)
-    return parts
-
-
-def _collect_sections(
-    cluster: str,
-    before: paging.Page,
-    after: paging.Page,
-    new: snapshot_types.Snapshot,
-) -> dict[str, bytes]:
-    held = {entry.hash for entry in before.entries.values()}
-    return {
-        interface.section_key(cluster, entry.hash): codec.encode_section(
-            new.sections[name]
-        )
-        for name, entry in after.entries.items()
-        if entry.hash not in held
-    }
-
-
-@defer.inlineCallbacks
-def _touch(
-    store: interface.Store, key: str, data: bytes, touched: set[str]
-) -> Any:
-    """Writes a part so that it has a new revision."""
-    if key in touched:
-        return
-    expected = 0
-    for _ in range(_TOUCH_ATTEMPTS):
-        try:
-            yield store.compare_and_swap(key, expected, data)
-        except exceptions.StoreConflict:
-            entry = yield store.get(key)
-            expected = entry.revision if entry is not None else 0
-            continue
-        touched.add(key)
-        return
-    raise exceptions.StoreUncertain(f"{key} is written by others all the time")
