Test publication and clean-up over a store that fails

Cause: racing operators, lost answers and clean-up must not publish twice, report a wrong result or delete what a version names. Change: a hypothesis state machine with an oracle of the head, and directed tests of each fault: lost answer, false conflict, write that lands late, outage, history that ran out, part named again during clean-up.

--- /dev/null
+++ b/libs/store/tests/test_publisher.py
@@ -0,0 +1,516 @@
+"""Tests of publication and clean-up over a store that fails in many ways."""
+
+import random
+from typing import Any
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+from twisted.internet import task
+
+from filbertlift_config import head as heads
+from filbertlift_config import publication as planning
+from filbertlift_config import section as codec
+from filbertlift_store import cleanup
+from filbertlift_store import exceptions
+from filbertlift_store import interface
+from filbertlift_store import publisher
+from filbertlift_store import snapshots
+
+CLUSTER = "test"
+HEAD = interface.head_key(CLUSTER)
+SHORT_HISTORY = 4
+
+
+def read_now(deferred: Any) -> Any:
+    """Returns the result of a Deferred that has fired."""
+    results: list[Any] = []
+    deferred.addBoth(results.append)
+    assert results, "the Deferred has not fired"
+    if hasattr(results[0], "raiseException"):
+        results[0].raiseException()
+    return results[0]
+
+
+def make_section(name: str, slots: int) -> codec.Section:
+    return codec.Section(name, slots=slots)
+
+
+def publish_now(
+    store: interface.Store, name: str, slots: int, publication: str
+) -> Any:
+    request = publisher.Request(
+        CLUSTER, {name: make_section(name, slots)}, publication
+    )
+    clock = task.Clock()
+    return read_now(publisher.publish(store, request, clock, random.Random(1)))
+
+
+@attrs.define
+class Operator:
+    """One publication of the state machine and what it was told."""
+
+    publication: str
+    base: planning.Base
+    wanted: dict[str, codec.Section | None]
+    results: list[Any] = attrs.field(factory=list)
+
+
+@attrs.define
+class Oracle:
+    """What the head said over time.
+
+    Attributes:
+        models: content of each version by name.
+        accepted: version by publication.
+        changes: names that each version changed.
+    """
+
+    operators: dict[str, Operator] = attrs.field(factory=dict)
+    models: list[dict[str, codec.Section]] = attrs.field(factory=lambda: [{}])
+    accepted: dict[str, int] = attrs.field(factory=dict)
+    changes: list[set[str]] = attrs.field(factory=lambda: [set()])
+
+    def observe(self, key: str, value: bytes) -> None:
+        if key != HEAD:
+            return
+        head = heads.decode_head(value)
+        if head.version == len(self.models) - 1:
+            return  # Clean-up writes the head unchanged.
+        assert head.version == len(self.models), "a version was skipped"
+        assert head.publication not in self.accepted, "accepted twice"
+        self.accepted[head.publication] = head.version
+        operator = self.operators[head.publication]
+        model = dict(self.models[-1])
+        changed = set()
+        for name, section in operator.wanted.items():
+            if _hash(section) == operator.base.get_hash(name):
+                continue
+            changed.add(name)
+            model.pop(name, None)
+            if section is not None:
+                model[name] = section
+        self.models.append(model)
+        self.changes.append(changed)
+
+    def find_rivals(
+        self, operator: Operator, name: str, until: int
+    ) -> list[int]:
+        """Returns the versions after the base that changed the name."""
+        start = operator.base.version + 1
+        return [v for v in range(start, until) if name in self.changes[v]]
+
+    def check_result(self, operator: Operator, result: Any) -> None:
+        version = self.accepted.get(operator.publication)
+        if isinstance(result, publisher.Accepted):
+            unchanged = not any(
+                _hash(section) != operator.base.get_hash(name)
+                for name, section in operator.wanted.items()
+            )
+            assert version == result.version or (version is None and unchanged)
+        elif isinstance(result, publisher.ConflictFound):
+            assert version is None, "told of a conflict, but accepted"
+            for name in result.names:
+                until = result.current_version + 1
+                assert self.find_rivals(operator, name, until), name
+        elif isinstance(result, publisher.Rejected):
+            assert version is None, "told that it failed, but accepted"
+
+    def check_overwrites(self) -> None:
+        """Checks that nobody overwrote a change that the base lacked."""
+        for publication, version in self.accepted.items():
+            operator = self.operators[publication]
+            for name in self.changes[version]:
+                assert not self.find_rivals(operator, name, version)
+
+
+def _hash(section: codec.Section | None) -> str | None:
+    if section is None:
+        return None
+    return codec.hash_bytes(codec.encode_section(section))
+
+
+class PublicationMachine(stateful.RuleBasedStateMachine):
+    """Racing operators, lost answers, outages, clean-up and slow readers."""
+
+    fake_type: Any = None
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = task.Clock()
+        self.rng = random.Random(7)
+        self.oracle = Oracle()
+        self.fake = self.fake_type(on_write=self.oracle.observe)
+        self.held = self.fake.make_store(self.fake.pending)
+        self.direct = self.fake.make_store()
+        self.late: list[Any] = []
+        self.reads: list[Any] = []
+        self.now_s = 0.0
+        self.checked = (0, 0)
+
+    @stateful.rule(
+        slots=st.dictionaries(
+            st.sampled_from("abc"),
+            st.none() | st.integers(1, 3),
+            min_size=1,
+            max_size=2,
+        ),
+        age=st.integers(0, 2),
+    )
+    def start_publication(self, slots: dict[str, int | None], age: int) -> None:
+        """An operator publishes a tree made from a recent version."""
+        busy = [o for o in self.oracle.operators.values() if not o.results]
+        if len(busy) < 3:
+            self.publish(self.held, slots, age)
+
+    def publish(
+        self, store: Any, slots: dict[str, int | None], age: int
+    ) -> None:
+        publication = f"p{len(self.oracle.operators)}"
+        wanted = {
+            name: None if count is None else make_section(name, count)
+            for name, count in slots.items()
+        }
+        operator = Operator(publication, self.make_base(age), wanted)
+        self.oracle.operators[publication] = operator
+        request = publisher.Request(CLUSTER, wanted, publication, operator.base)
+        publisher.publish(store, request, self.clock, self.rng).addBoth(
+            operator.results.append
+        )
+
+    @stateful.rule(
+        changes=st.lists(
+            st.tuples(st.sampled_from("abc"), st.integers(1, 2)),
+            min_size=1,
+            max_size=SHORT_HISTORY + 1,
+        )
+    )
+    def publish_at_once(self, changes: list[tuple[str, int]]) -> None:
+        """Other operators publish while the calls under way wait."""
+        for name, count in changes:
+            self.publish(self.direct, {name: count}, 0)
+
+    @stateful.rule()
+    def fail_for_long(self) -> None:
+        """An outage outlasts the patience of every publisher."""
+        for _ in range(30):
+            calls, self.fake.pending[:] = list(self.fake.pending), []
+            for call in calls:
+                call.refuse()
+            self.clock.advance(5)
+
+    def make_base(self, age: int) -> planning.Base:
+        entry = self.fake.entries.get(HEAD)
+        if entry is None:
+            return planning.Base(0, {})
+        history = heads.decode_head(entry.value).history
+        record = history[max(0, len(history) - 1 - age)]
+        parts = read_now(snapshots.fetch_version(self.direct, CLUSTER, record))
+        entries = {}
+        for page in parts.pages:
+            entries.update(page.entries)
+        return planning.Base(record.version, entries)
+
+    def take(self, index: int) -> Any:
+        if not self.fake.pending:
+            return None
+        return self.fake.pending.pop(index % len(self.fake.pending))
+
+    @stateful.rule(count=st.integers(1, 30))
+    def run_calls(self, count: int) -> None:
+        """The store works; calls are answered in order."""
+        for _ in range(count):
+            call = self.take(0)
+            if call is not None:
+                call.run()
+
+    @stateful.rule(index=st.integers(0, 20))
+    def run_call(self, index: int) -> None:
+        """Calls overtake one another."""
+        call = self.take(index)
+        if call is not None:
+            call.run()
+
+    @stateful.rule(index=st.integers(0, 20), says_conflict=st.booleans())
+    def lose_answer(self, index: int, says_conflict: bool) -> None:
+        """A call takes effect and seems to fail."""
+        call = self.take(index)
+        if call is None:
+            return
+        error = exceptions.StoreUncertain("lost")
+        if says_conflict and call.is_write:
+            error = exceptions.StoreConflict("so it says")
+        call.lose(error)
+
+    @stateful.rule(index=st.integers(0, 20))
+    def delay_call(self, index: int) -> None:
+        """A call times out and takes effect later."""
+        call = self.take(index)
+        if call is None:
+            return
+        self.late.append(call.apply)
+        call.answer.errback(exceptions.StoreUncertain("timeout"))
+
+    @stateful.rule(index=st.integers(0, 20))
+    def land_call(self, index: int) -> None:
+        """A call whose caller gave up takes effect, perhaps once more."""
+        if not self.late:
+            return
+        try:
+            self.late.pop(index % len(self.late))()
+        except exceptions.StoreError:
+            pass
+
+    @stateful.rule()
+    def refuse_calls(self) -> None:
+        """The store refuses all that is under way."""
+        calls, self.fake.pending[:] = list(self.fake.pending), []
+        for call in calls:
+            call.refuse()
+
+    @stateful.rule(seconds=st.floats(0.01, 20))
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @stateful.rule(now=st.sampled_from([0, 300, 700]))
+    def start_clean_up(self, now: int) -> None:
+        """Clean-up starts, and its calls race all others."""
+        self.now_s += now
+        cleanup.clean_store(self.held, CLUSTER, self.now_s).addErrback(
+            lambda reason: reason.trap(exceptions.StoreError)
+        )
+
+    @stateful.rule(now=st.sampled_from([0, 700]))
+    def clean_at_once(self, now: int) -> None:
+        """Clean-up runs while the calls under way wait."""
+        self.now_s += now
+        try:
+            read_now(cleanup.clean_store(self.direct, CLUSTER, self.now_s))
+        except exceptions.StoreError:
+            pass
+
+    @stateful.rule()
+    def start_reader(self) -> None:
+        """A node loads the version while others go on."""
+        read = snapshots.fetch_snapshot(self.held, CLUSTER)
+        read.addCallbacks(
+            self.check_read, lambda reason: reason.trap(exceptions.StoreError)
+        )
+
+    def check_read(self, snapshot: Any) -> None:
+        if snapshot is not None:
+            assert (
+                dict(snapshot.sections) == self.oracle.models[snapshot.version]
+            )
+        self.reads.append(snapshot)
+
+    @stateful.invariant()
+    def every_version_is_whole(self) -> None:
+        """Every version of the history can be loaded and is right."""
+        entry = self.fake.entries.get(HEAD)
+        state = (self.fake.revision, len(self.fake.entries))
+        if entry is None or state == self.checked:
+            return
+        self.checked = state
+        for record in heads.decode_head(entry.value).history:
+            parts = read_now(
+                snapshots.fetch_version(self.direct, CLUSTER, record)
+            )
+            assert dict(parts.sections) == self.oracle.models[record.version]
+
+    def teardown(self) -> None:
+        """The store works again; every publication ends and was true."""
+        for _ in range(200):
+            while self.fake.pending:
+                self.run_calls(10)
+            self.clock.advance(3)
+        while self.late:
+            self.land_call(0)
+        for operator in self.oracle.operators.values():
+            assert operator.results, "a publication did not end"
+            self.oracle.check_result(operator, operator.results[0])
+        self.oracle.check_overwrites()
+        self.every_version_is_whole()
+
+
+def test_racing_publications_tell_the_truth(
+    monkeypatch: pytest.MonkeyPatch, fake_store_type: type
+) -> None:
+    """Guards against double, lost and wrongly reported publications.
+
+    The history is cut to 4 versions, so that clean-up has work to do.
+    """
+    monkeypatch.setattr(heads, "HISTORY", SHORT_HISTORY)
+    monkeypatch.setattr(PublicationMachine, "fake_type", fake_store_type)
+    stateful.run_state_machine_as_test(PublicationMachine)
+
+
+def drive(fake: Any, clock: task.Clock, steps: int = 60) -> None:
+    """Lets the store answer all calls and time pass."""
+    for _ in range(steps):
+        while fake.pending:
+            fake.pending.pop(0).run()
+        clock.advance(1)
+
+
+def start_publication(fake: Any, clock: task.Clock, slots: int) -> list[Any]:
+    """Starts a publication of service `a` on held calls."""
+    request = publisher.Request(CLUSTER, {"a": make_section("a", slots)}, "p")
+    results: list[Any] = []
+    publisher.publish(
+        fake.make_store(fake.pending), request, clock, random.Random(1)
+    ).addBoth(results.append)
+    return results
+
+
+def run_until_head_write(fake: Any) -> Any:
+    """Answers calls up to the write of the head, which is returned."""
+    while not (fake.pending[0].is_write and fake.pending[0].key == HEAD):
+        fake.pending.pop(0).run()
+    return fake.pending.pop(0)
+
+
+def count_versions(fake: Any) -> int:
+    return heads.decode_head(fake.entries[HEAD].value).version
+
+
+@pytest.mark.parametrize(
+    "error", [exceptions.StoreUncertain("x"), exceptions.StoreConflict("x")]
+)
+def test_lost_answer_is_settled_by_the_head(
+    fake_store: Any, error: exceptions.StoreError
+) -> None:
+    """Guards against publishing again after an answer that was lost."""
+    clock = task.Clock()
+    results = start_publication(fake_store, clock, 1)
+    run_until_head_write(fake_store).lose(error)
+    drive(fake_store, clock)
+    assert results == [publisher.Accepted(1)]
+    assert count_versions(fake_store) == 1
+
+
+@pytest.mark.parametrize(
+    "error", [exceptions.StoreUncertain("x"), exceptions.StoreConflict("x")]
+)
+def test_write_that_may_land_is_never_called_a_failure(
+    fake_store: Any, error: exceptions.StoreError
+) -> None:
+    """Guards against reporting a failure that later takes effect."""
+    clock = task.Clock()
+    results = start_publication(fake_store, clock, 1)
+    call = run_until_head_write(fake_store)
+    call.answer.errback(error)
+    for _ in range(100):
+        while fake_store.pending:
+            fake_store.pending.pop(0).refuse()
+        clock.advance(5)
+    call.apply()
+    assert isinstance(results[0], publisher.Unsettled)
+    assert (results[0].publication, results[0].version) == ("p", 1)
+
+
+def test_outage_before_the_head_is_a_certain_failure(fake_store: Any) -> None:
+    """Guards against an "unknown" where nothing can have been published."""
+    clock = task.Clock()
+    results = start_publication(fake_store, clock, 1)
+    for _ in range(100):
+        while fake_store.pending:
+            fake_store.pending.pop(0).refuse()
+        clock.advance(5)
+    assert isinstance(results[0], publisher.Rejected)
+
+
+def test_write_older_than_the_history_stays_unsettled(
+    fake_store: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against publishing twice when the proof has left the history."""
+    monkeypatch.setattr(heads, "HISTORY", SHORT_HISTORY)
+    clock = task.Clock()
+    results = start_publication(fake_store, clock, 1)
+    run_until_head_write(fake_store).lose(exceptions.StoreUncertain("x"))
+    for number in range(SHORT_HISTORY):
+        publish_now(fake_store.make_store(), "b", number + 1, f"b{number}")
+    drive(fake_store, clock)
+    assert isinstance(results[0], publisher.Unsettled)
+
+
+def fill_journal(fake: Any) -> interface.Store:
+    """Publishes `a` with slots 1, then others until version 1 is old."""
+    store = fake.make_store()
+    for number in range(SHORT_HISTORY + 2):
+        publish_now(store, "a", number + 1, f"a{number}")
+        read_now(cleanup.clean_store(store, CLUSTER, 0))
+    return store
+
+
+@pytest.fixture
+def short_history(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(heads, "HISTORY", SHORT_HISTORY)
+
+
+def check_history(store: interface.Store) -> None:
+    """Loads every version of the history."""
+    head = heads.decode_head(read_now(store.get(HEAD)).value)
+    for record in head.history:
+        read_now(snapshots.fetch_version(store, CLUSTER, record))
+
+
+@pytest.mark.usefixtures("short_history")
+def test_clean_up_deletes_old_parts_and_only_those(fake_store: Any) -> None:
+    """Guards against deleting what the last versions name, and leaks."""
+    store = fill_journal(fake_store)
+    assert read_now(cleanup.clean_store(store, CLUSTER, 599)) == 0
+    assert read_now(cleanup.clean_store(store, CLUSTER, 600)) == 2 * 3
+    check_history(store)
+    parts = [key for key in fake_store.entries if "/section/" in key]
+    assert len(parts) == SHORT_HISTORY
+
+
+def run_some(calls: list[Any], count: int) -> None:
+    """Answers calls in order, up to a number."""
+    while calls and count > 0:
+        calls.pop(0).run()
+        count -= 1
+
+
+@pytest.mark.usefixtures("short_history")
+@pytest.mark.parametrize("before", range(16))
+def test_part_named_again_survives_clean_up(
+    fake_store: Any, before: int
+) -> None:
+    """Guards against deleting a part that a publication names meanwhile.
+
+    The publication goes back to the first content of `a`. It stops after
+    some calls, clean-up runs some of its own, the publication ends, and then
+    the clean-up.
+    """
+    fill_journal(fake_store)
+    prepared = dict(fake_store.entries)
+    for between in range(50):
+        fake_store.entries = dict(prepared)
+        clock = task.Clock()
+        results = start_publication(fake_store, clock, 1)
+        run_some(fake_store.pending, before)
+        cleaning: list[Any] = []
+        cleanup.clean_store(
+            fake_store.make_store(cleaning), CLUSTER, 700
+        ).addErrback(lambda reason: reason.trap(exceptions.StoreError))
+        run_some(cleaning, between)
+        drive(fake_store, clock)
+        run_some(cleaning, 1_000)
+        assert isinstance(results[0], publisher.Accepted)
+        check_history(fake_store.make_store())
+
+
+@pytest.mark.usefixtures("short_history")
+def test_versions_that_clean_up_missed_keep_their_parts(
+    fake_store: Any,
+) -> None:
+    """Guards against deleting a part named again in an unnoted version."""
+    store = fill_journal(fake_store)
+    publish_now(store, "a", 1, "again")
+    for number in range(SHORT_HISTORY + 1):
+        publish_now(store, "b", number + 1, f"b{number}")
+    read_now(cleanup.clean_store(store, CLUSTER, 700))
+    check_history(store)
