--- a/libs/membership/src/filbertlift_membership/members.py
+++ b/libs/membership/src/filbertlift_membership/members.py
@@ -1,12 +1,14 @@
 """Table of the members that a node knows."""
 
-from collections.abc import Iterator
+from collections import deque
+import itertools
 
 import attrs
 from filbertlift_core import model
 
 from filbertlift_membership import digests
 from filbertlift_membership import exceptions
+from filbertlift_membership import indexes
 
 # A refutation needs about 2 s to cross the cluster and come back: up to five
 # hops each way with batches of 200 ms.
@@ -16,6 +18,7 @@
 DEAD_KEPT_S = 600.0
 # Records of forgotten members; about 10 days of replaced hosts.
 MAX_FORGOTTEN = 20_000
+MAX_CHANGES = 4_096
 
 Address = model.Address
 Member = model.Member
@@ -50,10 +53,19 @@
     _suspected_at: dict[Address, float] = attrs.field(factory=dict)
     _dead_at: dict[Address, float] = attrs.field(factory=dict)
     _last_tick: float | None = None
+    _changes: deque[Address] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_CHANGES)
+    )
     _digests: digests.DigestTable = attrs.field(factory=digests.DigestTable)
-    _by_service: "_Index" = attrs.field(factory=lambda: _Index())
-    _by_data_centre: "_Index" = attrs.field(factory=lambda: _Index())
-    _by_region: "_Index" = attrs.field(factory=lambda: _Index())
+    _by_service: indexes.Index = attrs.field(
+        factory=lambda: indexes.Index(indexes.is_alive)
+    )
+    _by_data_centre: indexes.Index = attrs.field(
+        factory=lambda: indexes.Index(indexes.is_any)
+    )
+    _by_region: indexes.Index = attrs.field(
+        factory=lambda: indexes.Index(indexes.is_live)
+    )
 
     @classmethod
     def create(cls, own: Member) -> "MemberTable":
@@ -134,25 +146,37 @@
             self._forget(address)
         return expired
 
+    @property
+    def suspected(self) -> int:
+        """Number of members with a suspicion that is not settled yet."""
+        return len(self._suspected_at)
+
     def live(self) -> tuple[Member, ...]:
         """Returns every member that is not DEAD, this node included."""
-        return tuple(self._iterate_live())
+        return tuple(filter(indexes.is_live, self.members.values()))
+
+    def changed_since(self, revision: int) -> set[Address] | None:
+        """Returns the addresses changed since a revision, None if too many."""
+        count = self.revision - revision
+        if count > len(self._changes):
+            return None
+        return set(itertools.islice(reversed(self._changes), count))
 
     def targets_of(self, service: str) -> tuple[Member, ...]:
         """Returns the ALIVE members whose target belongs to a service."""
-        return self._by_service.list(service, self.members, _is_alive)
+        return self._by_service.list(service)
 
     def members_of(self, data_centre: str) -> tuple[Member, ...]:
         """Returns all records of a data centre, DEAD ones included."""
-        return self._by_data_centre.list(data_centre, self.members, _is_any)
+        return self._by_data_centre.list(data_centre)
 
     def live_of(self, data_centre: str) -> tuple[Member, ...]:
         """Returns the members of a data centre that are not DEAD."""
-        return tuple(filter(_is_live, self.members_of(data_centre)))
+        return tuple(filter(indexes.is_live, self.members_of(data_centre)))
 
     def live_of_region(self, region: str) -> tuple[Member, ...]:
         """Returns the members of a region that are not DEAD."""
-        return self._by_region.list(region, self.members, _is_live)
+        return self._by_region.list(region)
 
     def regions(self) -> tuple[str, ...]:
         """Returns the regions with a known member, sorted."""
@@ -240,11 +264,11 @@
             self._remove_from_lists(old)
         self._forgotten.pop(record.address, None)
         self.members[record.address] = record
-        self._by_service.add(record.service, record.address)
-        self._by_data_centre.add(record.place.data_centre, record.address)
-        self._by_region.add(record.place.region, record.address)
+        self._by_service.add(record.service, record)
+        self._by_data_centre.add(record.place.data_centre, record)
+        self._by_region.add(record.place.region, record)
         self._digests.add(record)
-        self.revision += 1
+        self._count_change(record.address)
 
     def _remove_from_lists(self, record: Member) -> None:
         self._by_service.remove(record.service, record.address)
@@ -260,54 +284,8 @@
         self._forgotten[address] = record
         if len(self._forgotten) > MAX_FORGOTTEN:
             del self._forgotten[next(iter(self._forgotten))]
-        self.revision += 1
-
-    def _iterate_live(self) -> Iterator[Member]:
-        return filter(_is_live, self.members.values())
-
-
-@attrs.define
-class _Index:
-    """Addresses by a key, with the list of members of each key cached."""
-
-    _addresses: dict[str, dict[Address, None]] = attrs.field(factory=dict)
-    _lists: dict[str, tuple[Member, ...]] = attrs.field(factory=dict)
+        self._count_change(address)
 
-    def add(self, key: str, address: Address) -> None:
-        """Adds an address under a key."""
-        self._addresses.setdefault(key, {})[address] = None
-        self._lists.pop(key, None)
-
-    def remove(self, key: str, address: Address) -> None:
-        """Removes an address, and the key with its last address."""
-        addresses = self._addresses[key]
-        del addresses[address]
-        if not addresses:
-            del self._addresses[key]
-        self._lists.pop(key, None)
-
-    def keys(self) -> tuple[str, ...]:
-        """Returns the keys that have an address, sorted."""
-        return tuple(sorted(self._addresses))
-
-    def list(self, key, members, wanted) -> tuple[Member, ...]:  # type: ignore[no-untyped-def]
-        """Returns the members under a key that are wanted."""
-        if key not in self._lists:
-            addresses = self._addresses.get(key)
-            if addresses is None:
-                return ()
-            found = (members[address] for address in addresses)
-            self._lists[key] = tuple(filter(wanted, found))
-        return self._lists[key]
-
-
-def _is_alive(member: Member) -> bool:
-    return member.state == MemberState.ALIVE
-
-
-def _is_live(member: Member) -> bool:
-    return member.state != MemberState.DEAD
-
-
-def _is_any(_: Member) -> bool:
-    return True
+    def _count_change(self, address: Address) -> None:
+        self.revision += 1
+        self._changes.append(address)
--- a/libs/membership/src/filbertlift_membership/probes.py
+++ b/libs/membership/src/filbertlift_membership/probes.py
@@ -1,5 +1,7 @@
 """Probes of other nodes by datagrams."""
 
+from collections import deque
+from collections.abc import Iterable
 import random
 
 import attrs
@@ -8,16 +10,34 @@
 from filbertlift_membership import members as membership
 
 PERIOD_S = 1.0
+JITTER = 0.2
 ACK_S = 0.3
 INDIRECT_S = 0.4
 INDIRECT_PROBES = 3
+# A data centre that is lost as a whole has nobody left to probe it from
+# within, so one probe in four goes to another one of the region.
+REMOTE_EVERY = 4
+# Acks may lie unread after a gap between ticks of this length.
+PAUSE_S = 0.25
+RECENT_RESULTS = 6
+SUSPICIONS_PER_S = 1.0
+SUSPICIONS_BURST = 3.0
+# Open suspicions in the cluster at which a node adds none; with 3 s to settle
+# each, a lost data centre causes at most about 40 updates a second.
+MAX_SUSPECTED = 128
+MAX_PROBES = 16
+MAX_RELAYS = 256
+_SEQUENCES = 1 << 32
+
+Address = model.Address
+Member = model.Member
 
 
 @attrs.frozen
 class SendPing:
     """Send a ping."""
 
-    to: model.Address
+    to: Address
     sequence: int
 
 
@@ -25,7 +45,7 @@
 class SendAck:
     """Answer a ping, or tell the requester of an indirect probe."""
 
-    to: model.Address
+    to: Address
     sequence: int
 
 
@@ -33,8 +53,8 @@
 class SendPingRequest:
     """Ask another node to ping a member."""
 
-    via: model.Address
-    to: model.Address
+    via: Address
+    to: Address
     sequence: int
 
 
@@ -42,58 +62,232 @@
 class Accuse:
     """Apply a SUSPECT record to the own table and spread it."""
 
-    member: model.Member
+    member: Member
 
 
 Action = SendPing | SendAck | SendPingRequest | Accuse
 
 
+@attrs.define
+class _Probe:
+    """A probe under way."""
+
+    target: Address
+    incarnation: int
+    due_at: float
+    is_indirect: bool = False
+
+
+@attrs.frozen
+class _Relay:
+    """A ping sent for another node."""
+
+    requester: Address
+    sequence: int
+
+
 @attrs.define
 class Prober:
-    """Probes one member a second, first directly and then through others."""
+    """Probes one member a second, first directly and then through others.
+
+    Members of the own data centre, and less often those of the rest of the
+    region, are probed in a random order that is drawn again after each round.
+    """
 
     _table: membership.MemberTable
     _rng: random.Random
+    _next_at: float
+    _sequence: int
+    _ticked_at: float
+    _probes: dict[int, _Probe] = attrs.field(factory=dict)
+    _relays: dict[int, _Relay] = attrs.field(factory=dict)
+    _results: deque[bool] = attrs.field(
+        factory=lambda: deque(maxlen=RECENT_RESULTS)
+    )
+    _responsive: Address | None = None
+    _rounds: int = 0
+    _near: list[Address] = attrs.field(factory=list)
+    _far: list[Address] = attrs.field(factory=list)
+    _allowance: float = SUSPICIONS_BURST
 
     @classmethod
     def create(
         cls, table: membership.MemberTable, rng: random.Random, now: float
     ) -> "Prober":
         """Returns a prober whose first probe is due within a period."""
-        del now
-        return cls(table, rng)
+        return cls(
+            table=table,
+            rng=rng,
+            next_at=now + rng.uniform(0.0, PERIOD_S),
+            # A restarted node must not take the acks of its predecessor.
+            sequence=rng.randrange(_SEQUENCES),
+            ticked_at=now,
+        )
+
+    @property
+    def is_healthy(self) -> bool:
+        """Whether at most half of the recent probes of this node failed."""
+        failed = self._results.count(False)
+        return 2 * failed <= len(self._results)
 
     def tick(self, now: float) -> list[Action]:
         """Returns what is due; to be called every 100 ms."""
-        del now
-        return []
+        elapsed = now - self._ticked_at
+        self._ticked_at = now
+        self._allowance = min(
+            SUSPICIONS_BURST, self._allowance + elapsed * SUSPICIONS_PER_S
+        )
+        if elapsed > PAUSE_S:
+            self._probes.clear()
+        actions = self._advance(now)
+        if now >= self._next_at:
+            jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+            self._next_at = now + PERIOD_S * jitter
+            actions += self._start_next(now)
+        return actions
 
-    def probe(self, address: model.Address, now: float) -> list[Action]:
+    def probe(self, address: Address, now: float) -> list[Action]:
         """Probes a member at once, as when its link broke or went silent."""
-        del address, now
-        return []
+        member = self._table.members.get(address)
+        if member is None or not _is_probed(member):
+            return []
+        if address == self._table.own.address:
+            return []
+        if len(self._probes) >= MAX_PROBES:
+            return []
+        if any(probe.target == address for probe in self._probes.values()):
+            return []
+        sequence = self._take_sequence()
+        self._probes[sequence] = _Probe(
+            address, member.incarnation, now + ACK_S
+        )
+        return [SendPing(address, sequence)]
 
     def receive_ping(
-        self, sender: model.Address, sequence: int, now: float
+        self, sender: Address, sequence: int, now: float
     ) -> list[Action]:
         """Answers a ping."""
         del now
         return [SendAck(sender, sequence)]
 
     def receive_ack(
-        self, sender: model.Address, sequence: int, now: float
+        self, sender: Address, sequence: int, now: float
     ) -> list[Action]:
         """Takes an ack of the probed member or of a helper."""
-        del sender, sequence, now
+        del sender, now
+        relay = self._relays.pop(sequence, None)
+        if relay is not None:
+            return [SendAck(relay.requester, relay.sequence)]
+        probe = self._probes.pop(sequence, None)
+        if probe is not None:
+            self._results.append(True)
+            self._responsive = probe.target
         return []
 
     def receive_ping_request(
-        self,
-        sender: model.Address,
-        target: model.Address,
-        sequence: int,
-        now: float,
+        self, sender: Address, target: Address, sequence: int, now: float
     ) -> list[Action]:
         """Pings a member for another node."""
-        del sender, target, sequence, now
+        del now
+        if target not in self._table.members:
+            return []
+        own_sequence = self._take_sequence()
+        self._relays[own_sequence] = _Relay(sender, sequence)
+        if len(self._relays) > MAX_RELAYS:
+            del self._relays[next(iter(self._relays))]
+        return [SendPing(target, own_sequence)]
+
+    def _advance(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for sequence, probe in list(self._probes.items()):
+            if now < probe.due_at:
+                continue
+            if probe.is_indirect:
+                del self._probes[sequence]
+                actions += self._fail(probe)
+                continue
+            probe.is_indirect = True
+            probe.due_at = now + INDIRECT_S
+            actions += self._ask_helpers(probe.target, sequence)
+        return actions
+
+    def _ask_helpers(self, target: Address, sequence: int) -> list[Action]:
+        own = self._table.own
+        candidates = [
+            member.address
+            for member in self._table.live_of(own.place.data_centre)
+            if _is_probed(member)
+            and member.address not in (own.address, target)
+        ]
+        count = min(INDIRECT_PROBES, len(candidates))
+        return [
+            SendPingRequest(helper, target, sequence)
+            for helper in self._rng.sample(candidates, count)
+        ]
+
+    def _fail(self, probe: _Probe) -> list[Action]:
+        self._results.append(False)
+        member = self._table.members.get(probe.target)
+        if member is None or member.incarnation != probe.incarnation:
+            return []
+        if not _is_probed(member) or not self._may_accuse():
+            return []
+        self._allowance -= 1.0
+        suspect = attrs.evolve(member, state=model.MemberState.SUSPECT)
+        return [Accuse(suspect)]
+
+    def _may_accuse(self) -> bool:
+        if not self.is_healthy or self._allowance < 1.0:
+            return False
+        return self._table.suspected < MAX_SUSPECTED
+
+    def _start_next(self, now: float) -> list[Action]:
+        self._rounds += 1
+        # A node among many dead ones would count as unhealthy for good, so
+        # it spends every other probe on a member that responded before.
+        if not self.is_healthy and self._rounds % 2 and self._responsive:
+            control = self.probe(self._responsive, now)
+            if control:
+                return control
+        if self._rounds % REMOTE_EVERY == 0:
+            return self._probe_far(now) or self._probe_near(now)
+        return self._probe_near(now) or self._probe_far(now)
+
+    def _probe_near(self, now: float) -> list[Action]:
+        if not self._near:
+            home = self._table.own.place.data_centre
+            self._near = self._shuffle(self._table.live_of(home))
+        return self._probe_first(self._near, now)
+
+    def _probe_far(self, now: float) -> list[Action]:
+        if not self._far:
+            home = self._table.own.place
+            self._far = self._shuffle(
+                member
+                for member in self._table.live_of_region(home.region)
+                if member.place.data_centre != home.data_centre
+            )
+        return self._probe_first(self._far, now)
+
+    def _shuffle(self, members: Iterable[Member]) -> list[Address]:
+        addresses = [member.address for member in members]
+        self._rng.shuffle(addresses)
+        return addresses
+
+    def _probe_first(self, order: list[Address], now: float) -> list[Action]:
+        while order:
+            actions = self.probe(order.pop(), now)
+            if actions:
+                return actions
         return []
+
+    def _take_sequence(self) -> int:
+        self._sequence = (self._sequence + 1) % _SEQUENCES
+        return self._sequence
+
+
+def _is_probed(member: Member) -> bool:
+    return member.state in (
+        model.MemberState.ALIVE,
+        model.MemberState.LEAVING,
+    )
