--- a/libs/membership/src/filbertlift_membership/gossip.py
+++ b/libs/membership/src/filbertlift_membership/gossip.py
@@ -1,14 +1,25 @@
-"""Updates that wait to be sent over the links of a node."""
+"""Exchange of member records over the links of a node."""
 
 from collections.abc import Iterable
+import itertools
 
 import attrs
 from filbertlift_core import model
 
+from filbertlift_membership import digests
 from filbertlift_membership import members as membership
 
+MemberTable = membership.MemberTable
+
 BATCH_S = 0.2
 MAX_BATCH = 50
+# Batches for a link at once: a new node gets 12,000 records in 6 s.
+MAX_BATCHES = 8
+# A batch can be lost when a link breaks without notice. Digests of one link
+# are compared at this interval, one link after the other.
+DIGEST_S = 30.0
+# Two nodes that find a difference exchange their digests once, not forever.
+DIGEST_REPLY_S = 5.0
 
 
 @attrs.frozen
@@ -19,6 +30,14 @@
     members: tuple[model.Member, ...]
 
 
+@attrs.frozen
+class SendDigest:
+    """Send the digests of the data centres to a linked node."""
+
+    to: model.Address
+    digests: dict[str, str]
+
+
 @attrs.define
 class GossipQueue:
     """Records to send, by link; at most one record of each member."""
@@ -27,14 +46,18 @@
         attrs.field(factory=dict)
     )
     _sent_at: float = float("-inf")
+    _compared_at: dict[model.Address, float] = attrs.field(factory=dict)
+    _last_compared_at: float = float("-inf")
 
     def open_link(self, peer: model.Address) -> None:
         """Starts to queue records for a link."""
         self._pending.setdefault(peer, {})
+        self._compared_at.setdefault(peer, float("-inf"))
 
     def close_link(self, peer: model.Address) -> None:
         """Drops the records of a link; a new link compares digests."""
         self._pending.pop(peer, None)
+        self._compared_at.pop(peer, None)
 
     def spread(
         self, update: model.Member, sender: model.Address | None = None
@@ -54,19 +77,47 @@
             queue[update.address] = update
 
     def tick(self, now: float) -> list[SendGossip]:
-        """Returns a batch for each link that has records, every 200 ms."""
+        """Returns the batches for each link, every 200 ms."""
         if now - self._sent_at < BATCH_S:
             return []
         self._sent_at = now
         return [
-            SendGossip(peer, _take_batch(queue))
+            SendGossip(peer, batch)
             for peer, queue in self._pending.items()
-            if queue
+            for batch in _take_batches(queue)
         ]
 
+    def compare(self, table: MemberTable, now: float) -> list[SendDigest]:
+        """Returns the digests due: on new links, and of one link each 30 s."""
+        due = [
+            peer
+            for peer, at in self._compared_at.items()
+            if at == float("-inf")
+        ]
+        if not due and now - self._last_compared_at >= DIGEST_S:
+            due = sorted(self._compared_at, key=self._compared_at.__getitem__)
+            due = due[:1]
+        return [self._send_digest(table, peer, now) for peer in due]
+
+    def reply(
+        self, table: MemberTable, peer: model.Address, now: float
+    ) -> list[SendDigest]:
+        """Returns the digests for a node whose digests differ."""
+        at = self._compared_at.get(peer)
+        if at is None or now - at < DIGEST_REPLY_S:
+            return []
+        return [self._send_digest(table, peer, now)]
+
+    def _send_digest(
+        self, table: MemberTable, peer: model.Address, now: float
+    ) -> SendDigest:
+        self._compared_at[peer] = now
+        self._last_compared_at = now
+        return SendDigest(peer, table.digest_by_data_centre())
+
 
 def receive_updates(
-    table: membership.MemberTable,
+    table: MemberTable,
     queue: GossipQueue,
     updates: Iterable[model.Member],
     sender: model.Address,
@@ -85,8 +136,27 @@
             queue.spread(changed)
 
 
-def _take_batch(
+def receive_digest(
+    table: MemberTable,
+    queue: GossipQueue,
+    digests_received: dict[str, str],
+    sender: model.Address,
+    now: float,
+) -> list[SendDigest]:
+    """Queues the records of each data centre that differs at the sender."""
+    own = table.digest_by_data_centre()
+    different = digests.compare(own, digests_received)
+    for data_centre in different:
+        for member in table.members_of(data_centre):
+            queue.send(sender, member)
+    return queue.reply(table, sender, now) if different else []
+
+
+def _take_batches(
     queue: dict[model.Address, model.Member],
-) -> tuple[model.Member, ...]:
-    taken = list(queue)[:MAX_BATCH]
-    return tuple(queue.pop(address) for address in taken)
+) -> list[tuple[model.Member, ...]]:
+    batches: list[tuple[model.Member, ...]] = []
+    while queue and len(batches) < MAX_BATCHES:
+        taken = list(itertools.islice(queue, MAX_BATCH))
+        batches.append(tuple(queue.pop(address) for address in taken))
+    return batches
--- a/libs/membership/src/filbertlift_membership/members.py
+++ b/libs/membership/src/filbertlift_membership/members.py
@@ -195,6 +195,11 @@
             and self.members[address].service == service
         )
 
+    def lost(self) -> tuple[Member, ...]:
+        """Returns the members that are DEAD, those already forgotten too."""
+        dead = (self.members[address] for address in self._dead_at)
+        return (*dead, *self._forgotten.values())
+
     def digest_by_data_centre(self) -> dict[str, str]:
         """Returns a digest of the members of each data centre.
 
--- a/libs/membership/src/filbertlift_membership/probes.py
+++ b/libs/membership/src/filbertlift_membership/probes.py
@@ -1,22 +1,22 @@
 """Probes of other nodes by datagrams."""
 
 from collections import deque
-from collections.abc import Iterable
 import random
 
 import attrs
 from filbertlift_core import model
 
 from filbertlift_membership import members as membership
+from filbertlift_membership import rounds
 
 PERIOD_S = 1.0
 JITTER = 0.2
 ACK_S = 0.3
 INDIRECT_S = 0.4
 INDIRECT_PROBES = 3
-# A data centre that is lost as a whole has nobody left to probe it from
-# within, so one probe in four goes to another one of the region.
-REMOTE_EVERY = 4
+# Both sides of a mended partition list each other as DEAD, and would not
+# connect again unless some DEAD members were still probed.
+DEAD_EVERY = 10
 # Acks may lie unread after a gap between ticks of this length.
 PAUSE_S = 0.25
 RECENT_RESULTS = 6
@@ -65,7 +65,17 @@
     member: Member
 
 
-Action = SendPing | SendAck | SendPingRequest | Accuse
+@attrs.frozen
+class Reconnect:
+    """Open a link to a node that responds although it is listed as DEAD.
+
+    The digests compared on connect tell it, so that it refutes.
+    """
+
+    to: Address
+
+
+Action = SendPing | SendAck | SendPingRequest | Accuse | Reconnect
 
 
 @attrs.define
@@ -76,6 +86,7 @@
     incarnation: int
     due_at: float
     is_indirect: bool = False
+    is_of_dead: bool = False
 
 
 @attrs.frozen
@@ -96,6 +107,7 @@
 
     _table: membership.MemberTable
     _rng: random.Random
+    _rounds: rounds.Rounds
     _next_at: float
     _sequence: int
     _ticked_at: float
@@ -105,9 +117,7 @@
         factory=lambda: deque(maxlen=RECENT_RESULTS)
     )
     _responsive: Address | None = None
-    _rounds: int = 0
-    _near: list[Address] = attrs.field(factory=list)
-    _far: list[Address] = attrs.field(factory=list)
+    _started: int = 0
     _allowance: float = SUSPICIONS_BURST
 
     @classmethod
@@ -118,6 +128,7 @@
         return cls(
             table=table,
             rng=rng,
+            rounds=rounds.Rounds(table, rng),
             next_at=now + rng.uniform(0.0, PERIOD_S),
             # A restarted node must not take the acks of its predecessor.
             sequence=rng.randrange(_SEQUENCES),
@@ -138,7 +149,7 @@
             SUSPICIONS_BURST, self._allowance + elapsed * SUSPICIONS_PER_S
         )
         if elapsed > PAUSE_S:
-            self._probes.clear()
+            self._defer(elapsed)
         actions = self._advance(now)
         if now >= self._next_at:
             jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
@@ -149,7 +160,7 @@
     def probe(self, address: Address, now: float) -> list[Action]:
         """Probes a member at once, as when its link broke or went silent."""
         member = self._table.members.get(address)
-        if member is None or not _is_probed(member):
+        if member is None or not rounds.is_probed(member):
             return []
         if address == self._table.own.address:
             return []
@@ -179,9 +190,12 @@
         if relay is not None:
             return [SendAck(relay.requester, relay.sequence)]
         probe = self._probes.pop(sequence, None)
-        if probe is not None:
-            self._results.append(True)
-            self._responsive = probe.target
+        if probe is None:
+            return []
+        if probe.is_of_dead:
+            return [Reconnect(probe.target)]
+        self._results.append(True)
+        self._responsive = probe.target
         return []
 
     def receive_ping_request(
@@ -202,6 +216,9 @@
         for sequence, probe in list(self._probes.items()):
             if now < probe.due_at:
                 continue
+            if probe.is_of_dead:
+                del self._probes[sequence]
+                continue
             if probe.is_indirect:
                 del self._probes[sequence]
                 actions += self._fail(probe)
@@ -211,26 +228,25 @@
             actions += self._ask_helpers(probe.target, sequence)
         return actions
 
+    def _defer(self, elapsed: float) -> None:
+        for probe in self._probes.values():
+            probe.due_at += elapsed
+
     def _ask_helpers(self, target: Address, sequence: int) -> list[Action]:
-        own = self._table.own
-        candidates = [
-            member.address
-            for member in self._table.live_of(own.place.data_centre)
-            if _is_probed(member)
-            and member.address not in (own.address, target)
-        ]
-        count = min(INDIRECT_PROBES, len(candidates))
-        return [
-            SendPingRequest(helper, target, sequence)
-            for helper in self._rng.sample(candidates, count)
-        ]
+        helpers = self._rounds.take_helpers(target, INDIRECT_PROBES)
+        return [SendPingRequest(helper, target, sequence) for helper in helpers]
 
     def _fail(self, probe: _Probe) -> list[Action]:
         self._results.append(False)
+        if self._responsive == probe.target:
+            self._responsive = None
         member = self._table.members.get(probe.target)
         if member is None or member.incarnation != probe.incarnation:
             return []
-        if not _is_probed(member) or not self._may_accuse():
+        if not rounds.is_probed(member) or not self._may_accuse():
+            return []
+        # Members beyond a partition between regions stay listed.
+        if member.place.region != self._table.own.place.region:
             return []
         self._allowance -= 1.0
         suspect = attrs.evolve(member, state=model.MemberState.SUSPECT)
@@ -242,52 +258,32 @@
         return self._table.suspected < MAX_SUSPECTED
 
     def _start_next(self, now: float) -> list[Action]:
-        self._rounds += 1
+        self._started += 1
+        actions: list[Action] = []
+        if self._started % DEAD_EVERY == 0:
+            actions += self._probe_dead(now)
+        address = self._choose_target()
+        if address is not None:
+            actions += self.probe(address, now)
+        return actions
+
+    def _choose_target(self) -> Address | None:
         # A node among many dead ones would count as unhealthy for good, so
-        # it spends every other probe on a member that responded before.
-        if not self.is_healthy and self._rounds % 2 and self._responsive:
-            control = self.probe(self._responsive, now)
-            if control:
-                return control
-        if self._rounds % REMOTE_EVERY == 0:
-            return self._probe_far(now) or self._probe_near(now)
-        return self._probe_near(now) or self._probe_far(now)
-
-    def _probe_near(self, now: float) -> list[Action]:
-        if not self._near:
-            home = self._table.own.place.data_centre
-            self._near = self._shuffle(self._table.live_of(home))
-        return self._probe_first(self._near, now)
-
-    def _probe_far(self, now: float) -> list[Action]:
-        if not self._far:
-            home = self._table.own.place
-            self._far = self._shuffle(
-                member
-                for member in self._table.live_of_region(home.region)
-                if member.place.data_centre != home.data_centre
-            )
-        return self._probe_first(self._far, now)
-
-    def _shuffle(self, members: Iterable[Member]) -> list[Address]:
-        addresses = [member.address for member in members]
-        self._rng.shuffle(addresses)
-        return addresses
-
-    def _probe_first(self, order: list[Address], now: float) -> list[Action]:
-        while order:
-            actions = self.probe(order.pop(), now)
-            if actions:
-                return actions
-        return []
+        # it spends every other probe on a member that should respond.
+        if self.is_healthy or self._started % 2 == 0:
+            return self._rounds.take()
+        return self._responsive or self._rounds.take_any()
+
+    def _probe_dead(self, now: float) -> list[Action]:
+        address = self._rounds.take_lost()
+        if address is None:
+            return []
+        sequence = self._take_sequence()
+        self._probes[sequence] = _Probe(
+            address, 0, now + ACK_S, is_of_dead=True
+        )
+        return [SendPing(address, sequence)]
 
     def _take_sequence(self) -> int:
         self._sequence = (self._sequence + 1) % _SEQUENCES
         return self._sequence
-
-
-def _is_probed(member: Member) -> bool:
-    return member.state in (
-        model.MemberState.ALIVE,
-        model.MemberState.LEAVING,
-    )
