Model the roster in the membership test

Three nodes that listed only dead or unknown peers never found one another again. Nodes without a link now ask the roster, and each gateway every 30 s.

--- a/libs/distribution/src/filbertlift_distribution/freshness.py
+++ b/libs/distribution/src/filbertlift_distribution/freshness.py
@@ -4,6 +4,56 @@
 
 # Added for each hop whose delay was not measured.
 HOP_ALLOWANCE_S = 0.05
+MAX_STAMPS = 16
+
+
+@attrs.frozen
+class Stamp:
+    """Part of a heartbeat by which the receiver bounds its delay.
+
+    Attributes:
+        number: counts the heartbeats of the sender on the link, from 1.
+        echo: number of the last heartbeat that the sender received, 0 for
+            none.
+        held_s: seconds between its arrival and this heartbeat.
+    """
+
+    number: int
+    echo: int
+    held_s: float
+
+
+@attrs.define
+class LinkDelay:
+    """Upper bound of the delay of each heartbeat on one link.
+
+    A heartbeat that echoes another was sent after that one, so it has been
+    under way for at most the time since then less the time it was held.
+    """
+
+    _number: int = 0
+    _sent_at: dict[int, float] = attrs.field(factory=dict)
+    _heard: int = 0
+    _heard_at: float = 0.0
+
+    def stamp(self, now: float) -> Stamp:
+        """Returns the stamp of a heartbeat that is sent now."""
+        self._number += 1
+        self._sent_at[self._number] = now
+        if len(self._sent_at) > MAX_STAMPS:
+            del self._sent_at[next(iter(self._sent_at))]
+        held = now - self._heard_at if self._heard else 0.0
+        return Stamp(self._number, self._heard, held)
+
+    def receive(self, stamp: Stamp, now: float) -> float | None:
+        """Returns the longest delay in seconds, or None if not known."""
+        if stamp.number > self._heard:
+            self._heard = stamp.number
+            self._heard_at = now
+        sent_at = self._sent_at.get(stamp.echo)
+        if sent_at is None:
+            return None
+        return max(now - sent_at - max(stamp.held_s, 0.0), 0.0)
 
 
 @attrs.define
@@ -28,6 +78,9 @@
     ) -> None:
         """Takes the age that a message carried; it only lowers the age.
 
+        A confirmation of a version that is newer than the one in force says
+        nothing about the latter, and is kept until the newer one is in force.
+
         Args:
             version: version in force at the sender.
             age: seconds since the store confirmed it, when it was sent.
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -16,6 +16,7 @@
 
 STEP_S = 0.1
 SILENT_S = 3.0
+ROSTER_S = 30.0
 # Longest repair: a batch lost on a link is found by the digests of that link.
 QUIET_S = 120.0
 PLACES = (
@@ -190,18 +191,29 @@
     def update_links(self) -> None:
         for address, host in self.hosts.items():
             wanted = host.topology.neighbours() + host.topology.gateway_links()
-            if not wanted:
-                # The first contact comes from the roster.
-                wanted = (self.rng.choice(list(self.hosts.values())).table.own,)
             for member in wanted:
                 if member.address != address:
                     self.open_link(address, member.address)
+            self.read_roster(address, host)
         for pair in list(self.links):
             if self.is_reachable(*pair):
                 self.links[pair] = self.now
             elif self.now - self.links[pair] >= SILENT_S:
                 self.drop_link(pair)
 
+    def read_roster(self, address, host: Host) -> None:
+        """Opens a link to an address of the roster at the store.
+
+        Nodes without a link do so, and each gateway about every 30 s, since
+        both sides of a long partition may have forgotten each other.
+        """
+        is_linked = any(address in pair for pair in self.links)
+        is_due = self.rng.random() < STEP_S / ROSTER_S
+        if not is_linked or (is_due and host.topology.is_gateway()):
+            contact = self.rng.choice(ADDRESSES)
+            if contact != address:
+                self.open_link(address, contact)
+
     def check(self) -> None:
         for address, host in self.hosts.items():
             own = host.table.own
