--- /dev/null
+++ b/libs/calls/src/filbertlift_calls/views.py
@@ -0,0 +1,388 @@
+"""What one entry node knows of the targets of one service."""
+
+from collections.abc import Iterable
+import enum
+import hashlib
+import heapq
+from typing import Final
+
+import attrs
+from filbertlift_core import model
+
+from filbertlift_calls import budgets
+from filbertlift_calls import exceptions
+
+# A target is slow when its average is over this many times the median.
+SLOW_FACTOR: Final = 3.0
+# It is left out after it was slow, or silent, for this time, in seconds.
+SLOW_AFTER_S: Final = 0.3
+# Time left out; doubles with each failed probe up to the limit, in seconds.
+EJECT_S: Final = 0.3
+MAX_EJECT_S: Final = 10.0
+# Failures in a row after which a target is left out.
+MAX_FAILURES: Final = 3
+# A penalty weighs on the choice for this long after the failure, in seconds.
+PENALTY_S: Final = 1.0
+# A reported queue says nothing any more after this time, in seconds.
+QUEUE_AGE_S: Final = 1.0
+# A new target reaches its full share in this time, in seconds.
+SLOW_START_S: Final = 10.0
+MIN_WEIGHT: Final = 0.1
+# Weight of the newest latency once ten were measured.
+LATENCY_GAIN: Final = 0.1
+# Samples before an average counts.
+MIN_SAMPLES: Final = 5
+# The median is taken again after this time, in seconds.
+MEDIAN_AGE_S: Final = 0.1
+# A target that vanished still owns its keys for this time, in seconds.
+LOST_S: Final = 120.0
+# Times below this are noise of the loop, in seconds.
+LATENCY_FLOOR_S: Final = 0.001
+_NEVER: Final = float("-inf")
+
+
+class Tier(enum.IntEnum):
+    """Distance of a target from this node; the nearest is tried first."""
+
+    DATA_CENTRE = 0
+    REGION = 1
+    ELSEWHERE = 2
+
+
+@attrs.frozen
+class Target:
+    """A target as the member table lists it, by the address of its node."""
+
+    address: model.Address
+    incarnation: int
+    place: model.Place
+
+
+@attrs.define(eq=False)
+class TargetView:
+    """One target as this node sees it.
+
+    Attributes:
+        target: address, incarnation and place.
+        tier: distance from here.
+        seed: number for the ranking of keys.
+        born: when it appeared, in seconds; minus infinity for one that was
+            there when this node started.
+        in_flight: calls sent from here and not ended.
+        short_in_flight: those of them that are not LONG.
+        queue: waiting calls that it reported last.
+        queue_at: when it reported them.
+        latency_s: average time of short calls.
+        samples: how many were measured.
+        slow_since: when it became slow, or None.
+        heard: when a short call ended, or the first of those in flight went.
+        penalty: factor of the score after failures.
+        penalty_until: when the penalty ends.
+        failures: failures since the last answer.
+        ejected_until: when it may be probed; None while it takes part.
+        eject_s: how long the next ejection lasts.
+        probing: whether a probe is out.
+        vanished: it is no longer listed; answers may still come.
+    """
+
+    target: Target
+    tier: Tier
+    seed: int
+    born: float
+    in_flight: int = 0
+    short_in_flight: int = 0
+    queue: int = 0
+    queue_at: float = _NEVER
+    latency_s: float = 0.0
+    samples: int = 0
+    slow_since: float | None = None
+    heard: float = _NEVER
+    penalty: float = 1.0
+    penalty_until: float = _NEVER
+    failures: int = 0
+    ejected_until: float | None = None
+    eject_s: float = EJECT_S
+    probing: bool = False
+    vanished: bool = False
+
+
+@attrs.frozen
+class LostTarget:
+    """A target that vanished.
+
+    Attributes:
+        seed: number for the ranking of keys.
+        since: when it vanished, in seconds.
+    """
+
+    seed: int
+    since: float
+
+
+_Probe = tuple[float, int, TargetView]
+
+
+@attrs.define(eq=False)
+class ServiceViews:
+    """The targets of one service, with those in use sorted by distance.
+
+    Attributes:
+        place: where this node stands.
+        local: address of this node, whose own target is one hop nearer.
+        slots: slots of each target of the service.
+        link_budget: bytes that may cross to other regions.
+        views: every listed target.
+        tiers: the targets in use, by distance.
+        lost: vanished targets and when they vanished.
+        ejected: how many listed targets are left out.
+        medians_s: median latency of the targets in this region, and of those
+            in other regions, whose way adds tens of milliseconds.
+        turn: counter of the round robin baseline.
+    """
+
+    place: model.Place
+    local: model.Address | None
+    slots: int
+    link_budget: budgets.LinkBudget
+    views: dict[model.Address, TargetView] = attrs.field(factory=dict)
+    tiers: tuple[list[TargetView], list[TargetView], list[TargetView]] = (
+        attrs.field(factory=lambda: ([], [], []))
+    )
+    lost: dict[model.Address, LostTarget] = attrs.field(factory=dict)
+    ejected: int = 0
+    medians_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
+    turn: int = 0
+    _median_at: float = _NEVER
+    _probes: tuple[list[_Probe], list[_Probe], list[_Probe]] = attrs.field(
+        factory=lambda: ([], [], [])
+    )
+    _updated: bool = False
+
+    def update(self, targets: Iterable[Target], now: float) -> None:
+        """Takes the present list of targets; forgets those that vanished.
+
+        A target with a new incarnation is a new one at an old address.
+        """
+        listed = {target.address: target for target in targets}
+        for address, view in list(self.views.items()):
+            target = listed.get(address)
+            if target is None or target != view.target:
+                self._remove(view, now)
+        for address, target in listed.items():
+            if address not in self.views:
+                self._add(target, now if self._updated else _NEVER)
+        self._updated = True
+        for address, lost in list(self.lost.items()):
+            if address in self.views or now - lost.since > LOST_S:
+                del self.lost[address]
+
+    def note_sent(
+        self, view: TargetView, work: model.WorkClass, now: float
+    ) -> None:
+        """Records that a call goes to this target."""
+        view.in_flight += 1
+        if view.ejected_until is not None:
+            view.probing = True
+        if work is model.WorkClass.LONG:
+            return
+        if view.short_in_flight == 0:
+            view.heard = now
+        view.short_in_flight += 1
+
+    def note_answer(
+        self,
+        view: TargetView,
+        work: model.WorkClass,
+        latency_s: float,
+        queue: int,
+        now: float,
+    ) -> None:
+        """Records an answer.
+
+        Args:
+            view: the target that the call was sent to.
+            work: class of the call; LONG says nothing about slowness.
+            latency_s: from sending to the answer.
+            queue: waiting short calls that the answer reports.
+            now: seconds.
+        """
+        self._note_end(view, work, now)
+        view.queue = queue
+        view.queue_at = now
+        view.failures = 0
+        view.penalty = 1.0
+        if work is model.WorkClass.LONG:
+            self._end_probe(view, now, False)
+            return
+        view.samples += 1
+        gain = max(LATENCY_GAIN, 1.0 / view.samples)
+        view.latency_s += gain * (latency_s - view.latency_s)
+        self._refresh_median(now)
+        if view.ejected_until is not None:
+            self._judge_probe(view, latency_s, now)
+            return
+        self._judge(view, now)
+
+    def note_failure(
+        self, view: TargetView, work: model.WorkClass, now: float
+    ) -> None:
+        """Records that a call ended without an answer or was refused."""
+        self._note_end(view, work, now)
+        view.failures += 1
+        view.penalty = min(64.0, view.penalty * 2.0)
+        view.penalty_until = now + PENALTY_S
+        if view.ejected_until is not None:
+            self._end_probe(view, now, False)
+        elif view.failures >= MAX_FAILURES:
+            self.eject(view, now)
+
+    def note_dropped(
+        self, view: TargetView, work: model.WorkClass, now: float
+    ) -> None:
+        """Records the end of a call that says nothing about the target."""
+        self._note_end(view, work, now)
+        self._end_probe(view, now, False)
+
+    def is_silent(self, view: TargetView, now: float) -> bool:
+        """Returns whether short calls went out and none came back in time."""
+        median_s = self.get_median(view)
+        if view.short_in_flight == 0 or not median_s:
+            return False
+        limit = max(SLOW_AFTER_S, SLOW_FACTOR * median_s)
+        return now - view.heard > limit
+
+    def eject(self, view: TargetView, now: float) -> bool:
+        """Leaves a target out; False when half of them are out already."""
+        if view.vanished or view.ejected_until is not None:
+            return False
+        if 2 * (self.ejected + 1) > len(self.views):
+            return False
+        self.ejected += 1
+        self.tiers[view.tier].remove(view)
+        self._set_probe(view, now)
+        return True
+
+    def find_probe(self, tier: Tier, now: float) -> TargetView | None:
+        """Returns a left out target whose single probe is due."""
+        probes = self._probes[tier]
+        while probes and probes[0][0] <= now:
+            due, _, view = probes[0]
+            if view.ejected_until == due and not view.probing:
+                return view
+            heapq.heappop(probes)
+        return None
+
+    def get_lost_seeds(self, now: float) -> list[int]:
+        """Returns the seeds of targets that vanished less than LOST_S ago."""
+        return [
+            lost.seed
+            for lost in self.lost.values()
+            if now - lost.since <= LOST_S
+        ]
+
+    def get_median(self, view: TargetView) -> float:
+        """Returns the median latency among targets as near as this one."""
+        return self.medians_s[view.tier is Tier.ELSEWHERE]
+
+    def _add(self, target: Target, born: float) -> None:
+        tier = _get_tier(self.place, target.place)
+        view = TargetView(target, tier, _make_seed(target.address), born)
+        self.views[target.address] = view
+        self.tiers[tier].append(view)
+
+    def _remove(self, view: TargetView, now: float) -> None:
+        view.vanished = True
+        del self.views[view.target.address]
+        self.lost[view.target.address] = LostTarget(view.seed, now)
+        if view.ejected_until is None:
+            self.tiers[view.tier].remove(view)
+            return
+        self.ejected -= 1
+
+    def _note_end(
+        self, view: TargetView, work: model.WorkClass, now: float
+    ) -> None:
+        if view.in_flight <= 0:
+            raise exceptions.ChoiceError(
+                f"no call is in flight to {view.target.address}"
+            )
+        view.in_flight -= 1
+        if work is model.WorkClass.LONG:
+            return
+        view.short_in_flight -= 1
+        view.heard = now
+
+    def _get_slow_limit(self, view: TargetView) -> float:
+        return SLOW_FACTOR * max(self.get_median(view), LATENCY_FLOOR_S)
+
+    def _judge(self, view: TargetView, now: float) -> None:
+        """Leaves a target out that has been slow for long enough."""
+        limit = self._get_slow_limit(view)
+        if view.samples < MIN_SAMPLES or view.latency_s <= limit:
+            view.slow_since = None
+            return
+        if view.slow_since is None:
+            view.slow_since = now
+        if now - view.slow_since >= SLOW_AFTER_S:
+            self.eject(view, now)
+
+    def _judge_probe(
+        self, view: TargetView, latency_s: float, now: float
+    ) -> None:
+        if not view.probing:
+            return
+        limit = self._get_slow_limit(view)
+        self._end_probe(view, now, latency_s <= limit)
+        if view.ejected_until is None:
+            view.latency_s = latency_s
+
+    def _end_probe(self, view: TargetView, now: float, passed: bool) -> None:
+        if view.ejected_until is None or not view.probing:
+            return
+        view.probing = False
+        if not passed:
+            self._set_probe(view, now)
+            return
+        view.ejected_until = None
+        view.eject_s = EJECT_S
+        view.slow_since = None
+        if view.vanished:
+            return
+        self.ejected -= 1
+        self.tiers[view.tier].append(view)
+
+    def _set_probe(self, view: TargetView, now: float) -> None:
+        view.ejected_until = now + view.eject_s
+        view.eject_s = min(MAX_EJECT_S, 2 * view.eject_s)
+        if not view.vanished:
+            heapq.heappush(
+                self._probes[view.tier], (view.ejected_until, view.seed, view)
+            )
+
+    def _refresh_median(self, now: float) -> None:
+        if now - self._median_at < MEDIAN_AGE_S:
+            return
+        self._median_at = now
+        for is_far in (False, True):
+            values = sorted(
+                view.latency_s
+                for view in self.views.values()
+                if view.samples >= MIN_SAMPLES
+                and (view.tier is Tier.ELSEWHERE) is is_far
+            )
+            # The lower middle: of two targets the slow one must not set it.
+            middle = (len(values) - 1) // 2
+            self.medians_s[is_far] = values[middle] if values else 0.0
+
+
+def _get_tier(here: model.Place, there: model.Place) -> Tier:
+    if here.region != there.region:
+        return Tier.ELSEWHERE
+    if here.data_centre != there.data_centre:
+        return Tier.REGION
+    return Tier.DATA_CENTRE
+
+
+def _make_seed(address: model.Address) -> int:
+    digest = hashlib.blake2b(str(address).encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
