--- a/libs/calls/src/filbertlift_calls/admission.py
+++ b/libs/calls/src/filbertlift_calls/admission.py
@@ -17,11 +17,11 @@
 from typing import Final
 
 import attrs
-from filbertlift_core import model
 
 from filbertlift_calls import codes
 from filbertlift_calls import exceptions
 from filbertlift_calls import queues
+from filbertlift_core import model
 
 CHECK: Final = model.WorkClass.CHECK
 LONG: Final = model.WorkClass.LONG
--- a/libs/calls/src/filbertlift_calls/choice.py
+++ b/libs/calls/src/filbertlift_calls/choice.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 import attrs
-from filbertlift_core import model
 
 from filbertlift_calls import views
+from filbertlift_core import model
 
 # Pairs drawn in a tier before it counts as full.
 MAX_DRAWS: Final = 2
--- a/libs/calls/src/filbertlift_calls/keeper.py
+++ b/libs/calls/src/filbertlift_calls/keeper.py
@@ -10,11 +10,11 @@
 from typing import Final
 
 import attrs
-from filbertlift_core import model
 
 from filbertlift_calls import codes
 from filbertlift_calls import exceptions
 from filbertlift_calls import records
+from filbertlift_core import model
 
 # How long an id is held after the deadline of its call, in seconds.
 RETENTION_S: Final = 30.0
--- a/libs/calls/src/filbertlift_calls/outcomes.py
+++ b/libs/calls/src/filbertlift_calls/outcomes.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 import attrs
-from filbertlift_core import model
 
 from filbertlift_calls import codes
+from filbertlift_core import model
 
 
 class AttemptEnd(enum.Enum):
--- a/libs/calls/src/filbertlift_calls/queues.py
+++ b/libs/calls/src/filbertlift_calls/queues.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import attrs
+
 from filbertlift_core import model
 
 # Iterating the enumeration itself costs more than the queue does.
--- a/libs/calls/src/filbertlift_calls/records.py
+++ b/libs/calls/src/filbertlift_calls/records.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import attrs
+
 from filbertlift_core import model
 
 # A head that names no incarnation: the entry does not know where an earlier
--- a/libs/calls/src/filbertlift_calls/views.py
+++ b/libs/calls/src/filbertlift_calls/views.py
@@ -7,10 +7,10 @@
 from typing import Final
 
 import attrs
-from filbertlift_core import model
 
 from filbertlift_calls import budgets
 from filbertlift_calls import exceptions
+from filbertlift_core import model
 
 # A target is slow when its average is over this many times the median.
 SLOW_FACTOR: Final = 3.0
