--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/processes.py
@@ -0,0 +1,174 @@
+"""Processes of a run: started, signalled and stopped by process id."""
+
+import os
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import protocol
+
+from filbertlift_harness import exceptions
+
+_TICKS = os.sysconf("SC_CLK_TCK")
+_OWN_PREFIX = "libs"
+
+
+@attrs.frozen
+class Usage:
+    """What a process has used.
+
+    Attributes:
+        cpu_s: seconds of CPU since it started.
+        rss_bytes: resident memory.
+    """
+
+    cpu_s: float
+    rss_bytes: int
+
+
+def parse_usage(stat: str, status: str) -> Usage:
+    """Returns the usage from the texts of /proc/<pid>/stat and status."""
+    # The name of the command may contain spaces; it ends at the last ")".
+    fields = stat.rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS
+    rss_kb = 0
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            rss_kb = int(line.split()[1])
+    return Usage(cpu_s, rss_kb * 1024)
+
+
+class _Ending(protocol.ProcessProtocol):
+    """Reports the end of a process."""
+
+    def __init__(self) -> None:
+        self.ended: defer.Deferred[int] = defer.Deferred()
+
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
+        code = reason.value.exitCode
+        self.ended.callback(-reason.value.signal if code is None else code)
+
+
+class Process:
+    """One process that the run started."""
+
+    def __init__(
+        self, reactor: Any, name: str, module: str, flags: list[str]
+    ) -> None:
+        self.name = name
+        self.module = module
+        self.flags = flags
+        self.paused = False
+        self.exit_status: int | None = None
+        self._reactor = reactor
+        self._transport: Any = None
+        self._ending = _Ending()
+
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._transport is not None and self.exit_status is None
+
+    @property
+    def pid(self) -> int:
+        """The process id.
+
+        Raises:
+            HarnessError: if the process does not run.
+        """
+        if not self.running:
+            raise exceptions.HarnessError(f"{self.name} does not run")
+        return int(self._transport.pid)
+
+    def start(self, folder: pathlib.Path) -> None:
+        """Starts the process; its output is appended to <name>.log."""
+        if self.running:
+            raise exceptions.HarnessError(f"{self.name} runs already")
+        self.exit_status, self.paused = None, False
+        self._ending = _Ending()
+        self._ending.ended.addCallback(self._note_end)
+        with (
+            open(folder / f"{self.name}.log", "ab") as log,
+            open(os.devnull, "rb") as nothing,
+        ):
+            self._transport = self._reactor.spawnProcess(
+                self._ending,
+                sys.executable,
+                [sys.executable, "-m", self.module, *self.flags],
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+                childFDs={
+                    0: nothing.fileno(),
+                    1: log.fileno(),
+                    2: log.fileno(),
+                },
+            )
+
+    def send_signal(self, number: int) -> None:
+        """Sends a signal to the process."""
+        os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """Ends the process without notice."""
+        self.send_signal(signal.SIGKILL)
+
+    def pause(self) -> None:
+        """Stops the process until it is resumed."""
+        self.send_signal(signal.SIGSTOP)
+        self.paused = True
+
+    def resume(self) -> None:
+        """Lets a paused process go on."""
+        self.send_signal(signal.SIGCONT)
+        self.paused = False
+
+    def read_usage(self) -> Usage:
+        """Returns the memory and CPU time from /proc."""
+        folder = pathlib.Path("/proc") / str(self.pid)
+        stat = (folder / "stat").read_text()
+        return parse_usage(stat, (folder / "status").read_text())
+
+    async def wait_end(self, timeout_s: float) -> int:
+        """Waits until the process has ended; returns its exit status.
+
+        Raises:
+            HarnessError: if it still runs after `timeout_s`.
+        """
+        if self.exit_status is not None:
+            return self.exit_status
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._ending.ended.addCallback(_pass_on, waiter)
+        waiter.addTimeout(timeout_s, self._reactor)
+        try:
+            await waiter
+        except defer.TimeoutError as error:
+            message = f"{self.name} still runs after {timeout_s:g} s"
+            raise exceptions.HarnessError(message) from error
+        if self.exit_status is None:
+            raise exceptions.HarnessError(f"{self.name} has no exit status")
+        return self.exit_status
+
+    async def stop(self, timeout_s: float = 5.0) -> int:
+        """Ends the process, by force when SIGTERM is not enough."""
+        if not self.running:
+            return self.exit_status or 0
+        if self.paused:
+            self.resume()
+        self.send_signal(signal.SIGTERM)
+        try:
+            return await self.wait_end(timeout_s)
+        except exceptions.HarnessError:
+            self.kill()
+        return await self.wait_end(timeout_s)
+
+    def _note_end(self, status: int) -> int:
+        self.exit_status = status
+        return status
+
+
+def _pass_on(status: int, waiter: "defer.Deferred[None]") -> int:
+    if not waiter.called:
+        waiter.callback(None)
+    return status
--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/topology.py
@@ -0,0 +1,151 @@
+"""What a deployment consists of: regions, services, targets and calls."""
+
+import attrs
+
+from filbertlift_core import model
+from filbertlift_standins import load
+
+
+@attrs.frozen
+class ServicePlan:
+    """A service and the data centres of its targets."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    slots: int
+    connections: int
+
+
+@attrs.frozen
+class RecordMove:
+    """The hand-over of a former partner's records.
+
+    Attributes:
+        service: service that has the records first.
+        path: path of the records below the service.
+        custody: service that has them afterwards.
+    """
+
+    service: str
+    path: str
+    custody: str
+
+
+@attrs.frozen
+class Topology:
+    """A deployment.
+
+    Attributes:
+        name: name of the cluster and of its folder under examples/.
+        places: data centres with their regions; the first region is near
+            the store.
+        services: services with their targets.
+        caller: name of the caller that is not a service.
+        operations: calls that the caller makes.
+        move: hand-over that the demo publishes.
+        delay_ms: delay each way between the regions.
+        rate_mbps: limit each way between the regions.
+    """
+
+    name: str
+    places: tuple[model.Place, ...]
+    services: tuple[ServicePlan, ...]
+    caller: str
+    operations: tuple[load.Operation, ...]
+    move: RecordMove
+    delay_ms: float = 20.0
+    rate_mbps: float = 30.0
+
+    @property
+    def regions(self) -> list[str]:
+        """The regions in order, the one with the store first."""
+        return list(dict.fromkeys(place.region for place in self.places))
+
+    def find_place(self, data_centre: str) -> model.Place:
+        """Returns the place of a data centre."""
+        for place in self.places:
+            if place.data_centre == data_centre:
+                return place
+        raise KeyError(data_centre)
+
+
+def _make_places(regions: dict[str, list[str]]) -> tuple[model.Place, ...]:
+    return tuple(
+        model.Place(region, data_centre)
+        for region, names in regions.items()
+        for data_centre in names
+    )
+
+
+def _operation(text: str) -> load.Operation:
+    return load.Operation.parse(text)
+
+
+_TUSSOCK_SITES = ("hamilton", "palmerston", "ashburton", "gore")
+TUSSOCK_ROAD = Topology(
+    name="tussock-road",
+    places=_make_places(
+        {
+            "north-is": ["hamilton", "palmerston"],
+            "south-is": ["ashburton", "gore"],
+        }
+    ),
+    services=(
+        ServicePlan("yards", _TUSSOCK_SITES, 6, 130),
+        ServicePlan("confirm", _TUSSOCK_SITES, 6, 130),
+        ServicePlan("papers", _TUSSOCK_SITES, 6, 130),
+        ServicePlan("mokau-custody", ("hamilton", "ashburton"), 6, 130),
+    ),
+    caller="cartage-firms",
+    operations=(
+        _operation("check=GET /yards/checks/{n};share=0.1;work_ms=3"),
+        _operation("counter=GET /yards/slots/{n};share=0.4;work_ms=8"),
+        _operation(
+            "booking=POST /confirm/bookings;share=0.25;work_ms=12;"
+            "body_bytes=300;keyed=1"
+        ),
+        _operation(
+            "partner=POST /papers/partners/mokau/{n};share=0.15;work_ms=8;"
+            "body_bytes=200;keyed=1"
+        ),
+        _operation(
+            "long=GET /papers/manifests/{n};share=0.04;work_ms=150;"
+            "answer_bytes=400000;deadline_ms=20000"
+        ),
+    ),
+    move=RecordMove("papers", "/partners/mokau", "mokau-custody"),
+)
+
+_CALDERMOOR_SITES = ("edin-a", "edin-b", "glas-a", "glas-b")
+CALDERMOOR = Topology(
+    name="caldermoor",
+    places=_make_places(
+        {"edin": ["edin-a", "edin-b"], "glas": ["glas-a", "glas-b"]}
+    ),
+    services=(
+        ServicePlan("enquiry-desk", _CALDERMOOR_SITES, 18, 110),
+        ServicePlan("issuance", _CALDERMOOR_SITES, 18, 110),
+        ServicePlan("archive", _CALDERMOOR_SITES, 18, 110),
+        ServicePlan("kilbride-custody", ("edin-b", "glas-a"), 18, 110),
+    ),
+    caller="law-firms",
+    operations=(
+        _operation("check=GET /issuance/seal-register/{n};share=0.1;work_ms=3"),
+        _operation("counter=GET /enquiry-desk/status/{n};share=0.4;work_ms=6"),
+        _operation(
+            "fee=POST /issuance/fees;share=0.25;work_ms=12;"
+            "body_bytes=300;keyed=1"
+        ),
+        _operation(
+            "partner=POST /archive/partners/kilbride/{n};share=0.15;work_ms=8;"
+            "body_bytes=200;keyed=1"
+        ),
+        _operation(
+            "long=GET /archive/bundles/{n};share=0.04;work_ms=200;"
+            "answer_bytes=600000;deadline_ms=20000"
+        ),
+    ),
+    move=RecordMove("archive", "/partners/kilbride", "kilbride-custody"),
+)
+
+BOTH = (TUSSOCK_ROAD, CALDERMOOR)
--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/traffic.py
@@ -0,0 +1,76 @@
+"""Calls of a topology's caller through the nodes of a deployment."""
+
+import itertools
+import random
+
+import attrs
+from twisted.internet import defer
+
+from filbertlift_harness import deployment as deployments
+from filbertlift_harness import oracle
+from filbertlift_harness import trees
+from filbertlift_standins import client
+from filbertlift_standins import load
+
+_numbers = itertools.count(1)
+
+
+@attrs.define
+class Traffic:
+    """Load that runs while something else happens.
+
+    Attributes:
+        running: the load, whose records grow as calls end.
+        started_at_s: time on the reactor's clock at which it started.
+        result: fires when the last call has ended.
+    """
+
+    running: load.Load
+    started_at_s: float
+    result: "defer.Deferred[list[load.CallRecord]]"
+
+    async def finish(self, timeout_s: float) -> list[load.CallRecord]:
+        """Sends no further call and waits for those in flight."""
+        self.running.stop()
+        self.result.addTimeout(timeout_s, self.running.clock)
+        try:
+            await self.result
+        except defer.TimeoutError:
+            return self.running.records
+        return self.running.records
+
+
+def start_traffic(
+    deployment: deployments.Deployment,
+    tree: trees.Tree,
+    steps: list[load.RateStep],
+    duration_s: float,
+    seed: int,
+    operations: list[load.Operation] | None = None,
+) -> Traffic:
+    """Starts calls through every node, each with the same share."""
+    rng = random.Random(seed)
+    sender = client.Client(deployment.reactor, connections=60)
+    running = load.Load(deployment.reactor, sender, tree.token)
+    schedule = load.plan_calls(
+        rng,
+        f"t{next(_numbers)}",
+        steps,
+        duration_s,
+        operations or list(deployment.topology.operations),
+        deployment.entries,
+    )
+    started_at_s = deployment.reactor.seconds()
+    return Traffic(running, started_at_s, running.start(schedule))
+
+
+def read_totals(
+    deployment: deployments.Deployment,
+) -> dict[str, oracle.RunTotal]:
+    """Returns what the targets of a deployment ran."""
+    return oracle.read_journals(
+        {
+            deployment.folder / f"{spec.name}.runs": spec.service
+            for spec in deployment.nodes
+        }
+    )
--- a/libs/standins/src/filbertlift_standins/caller.py
+++ b/libs/standins/src/filbertlift_standins/caller.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 import attrs
+from twisted.internet import reactor as default_reactor
+import typer
+
 from filbertlift_core import env
 from filbertlift_core import exceptions
 from filbertlift_core import logs
 from filbertlift_core import model
-from twisted.internet import reactor as default_reactor
-import typer
-
 from filbertlift_standins import client
 from filbertlift_standins import load
 
--- a/libs/standins/src/filbertlift_standins/client.py
+++ b/libs/standins/src/filbertlift_standins/client.py
@@ -9,14 +9,15 @@
 from typing import Any
 
 import attrs
-from filbertlift_core import exceptions
-from filbertlift_core import model
 import httptools
 from twisted.internet import defer
 from twisted.internet import error as net_errors
 from twisted.internet import protocol
 from twisted.python import failure
 
+from filbertlift_core import exceptions
+from filbertlift_core import model
+
 Sink = Callable[[bytes], None]
 
 
--- a/libs/standins/src/filbertlift_standins/link.py
+++ b/libs/standins/src/filbertlift_standins/link.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 import attrs
-from filbertlift_core import env
-from filbertlift_core import exceptions
-from filbertlift_core import model
 from twisted.internet import protocol
 from twisted.internet import reactor as default_reactor
 import typer
 
+from filbertlift_core import env
+from filbertlift_core import exceptions
+from filbertlift_core import model
 from filbertlift_standins import web
 
 # A connection reads no more while this much of it is under way.
--- a/libs/standins/src/filbertlift_standins/load.py
+++ b/libs/standins/src/filbertlift_standins/load.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 import attrs
-from filbertlift_core import model
 from twisted.internet import defer
 from twisted.python import failure
 
+from filbertlift_core import model
 from filbertlift_standins import client
 from filbertlift_standins import content
 
@@ -177,7 +177,7 @@
     ) -> None:
         self.records: list[CallRecord] = []
         self.in_flight = 0
-        self._clock = clock
+        self.clock = clock
         self._sender = sender
         self._token = token
         self._on_record = on_record or self.records.append
@@ -195,7 +195,7 @@
             The records, when the last call has ended.
         """
         self._schedule = schedule
-        self._started_at = self._clock.seconds()
+        self._started_at = self.clock.seconds()
         self._send_next()
         return self._result
 
@@ -242,12 +242,12 @@
         )
 
     def _send_next(self) -> None:
-        elapsed = self._clock.seconds() - self._started_at
+        elapsed = self.clock.seconds() - self._started_at
         for planned in self._schedule:
             if planned.at_s <= elapsed:
                 self.send(planned)
                 continue
-            self._clock.callLater(
+            self.clock.callLater(
                 planned.at_s - elapsed, self._send_planned, planned
             )
             return
@@ -281,7 +281,7 @@
     def _record(
         self, planned: Planned, outcome: str, status: int, code: str, call: str
     ) -> None:
-        now_s = self._clock.seconds() - self._started_at
+        now_s = self.clock.seconds() - self._started_at
         latency_s = now_s - planned.at_s
         self.in_flight -= 1
         self._on_record(
--- a/libs/standins/src/filbertlift_standins/store.py
+++ b/libs/standins/src/filbertlift_standins/store.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 import attrs
-from filbertlift_core import env
-from filbertlift_core import exceptions
-from filbertlift_core import model
 from twisted.internet import reactor as default_reactor
 import typer
 
+from filbertlift_core import env
+from filbertlift_core import exceptions
+from filbertlift_core import model
 from filbertlift_standins import web
 
 # A watch never waits longer, whatever the caller asks.
--- a/libs/standins/src/filbertlift_standins/target.py
+++ b/libs/standins/src/filbertlift_standins/target.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 import attrs
-from filbertlift_core import env
-from filbertlift_core import exceptions
-from filbertlift_core import model
 from twisted.internet import reactor as default_reactor
 import typer
 
+from filbertlift_core import env
+from filbertlift_core import exceptions
+from filbertlift_core import model
 from filbertlift_standins import content
 from filbertlift_standins import web
 from filbertlift_standins import work as works
@@ -58,6 +58,7 @@
         connections: int,
         work_times: list[works.WorkTime],
         faults: Faults,
+        journal: works.Journal = works.keep_no_journal,
     ) -> None:
         self.clock = clock
         self.faults = faults
@@ -65,6 +66,7 @@
         self.runs: dict[str, works.Run] = {}
         self.running = 0
         self._name = name
+        self._journal = journal
         self._slots = slots
         self._connections = connections
         self._work_times = sorted(work_times, key=lambda w: -len(w.prefix))
@@ -151,6 +153,7 @@
         request_id = request.headers.get("request-id", "none")
         run = self.runs.setdefault(request_id, works.Run(request.path))
         run.started += 1
+        self._journal("start", request_id)
         run.times.append(time.time())
         run.calls.append(request.headers.get("filbertlift-call", ""))
         work = works.Work(exchange, run, request_id, work_s)
@@ -185,11 +188,13 @@
             return
         self._stop(work)
         work.run.cancelled += 1
+        self._journal("cancel", work.request_id)
         self.counters["cancelled"] += 1
 
     def _expire(self, work: works.Work) -> None:
         self._stop(work)
         work.run.cancelled += 1
+        self._journal("cancel", work.request_id)
         self.counters["expired"] += 1
         work.exchange.respond(504)
 
@@ -205,6 +210,7 @@
         """Ends work whose answer was written."""
         self._stop(work)
         work.run.finished += 1
+        self._journal("finish", work.request_id)
         self.counters["finished"] += 1
         work.exchange.finish()
 
@@ -216,6 +222,9 @@
     connections: int = typer.Option(130, help="Connections at a time."),
     work: list[str] = typer.Option([], help="Such as 'GET /slots=5', in ms."),
     faults: str = typer.Option("{}", help="JSON as for POST /-/faults."),
+    journal: str = typer.Option(
+        "", help="File to which each run is appended; survives a kill."
+    ),
 ) -> None:
     """Runs the target stand-in until it is stopped."""
     reactor: Any = default_reactor
@@ -227,7 +236,8 @@
     except (ValueError, exceptions.ModelError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(env.EXIT_USAGE) from error
-    target = Target(reactor, name, slots, connections, work_times, record)
+    keep = works.make_journal(journal) if journal else works.keep_no_journal
+    target = Target(reactor, name, slots, connections, work_times, record, keep)
     web.listen(reactor, address, web.Server(target.handle))
     reactor.run()
 
--- a/libs/standins/src/filbertlift_standins/web.py
+++ b/libs/standins/src/filbertlift_standins/web.py
@@ -13,11 +13,12 @@
 import urllib.parse
 
 import attrs
-from filbertlift_core import model
 import httptools
 import orjson
 from twisted.internet import protocol
 
+from filbertlift_core import model
+
 # Requests that wait behind an unfinished one on the same connection.
 _MAX_PIPELINED = 32
 
--- a/libs/standins/src/filbertlift_standins/work.py
+++ b/libs/standins/src/filbertlift_standins/work.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import time
 from typing import Any
 
 import attrs
@@ -11,6 +12,26 @@
 from filbertlift_standins import content
 from filbertlift_standins import web
 
+# Called with `start`, `finish` or `cancel` and the request id.
+Journal = Callable[[str, str], None]
+
+
+def keep_no_journal(_event: str, _request_id: str) -> None:
+    """Records nothing."""
+
+
+def make_journal(path: str) -> Journal:
+    """Returns a journal that appends lines to a file at once.
+
+    An oracle still reads what ran on a target that was killed.
+    """
+    file = open(path, "a", encoding="utf-8", buffering=1)  # noqa: SIM115
+
+    def append(event: str, request_id: str) -> None:
+        file.write(f"{event} {request_id} {time.time():.6f}\n")
+
+    return append
+
 
 @attrs.frozen
 class WorkTime:
--- a/libs/standins/tests/conftest.py
+++ b/libs/standins/tests/conftest.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 
-from filbertlift_standins import web
 import pytest
 from twisted.internet import testing
 
+from filbertlift_standins import web
+
 
 class Client:
     """Sends requests to a stand-in on one connection of its own."""
--- a/libs/standins/tests/test_content.py
+++ b/libs/standins/tests/test_content.py
@@ -1,9 +1,10 @@
 """Tests of the content that target and caller derive."""
 
-from filbertlift_standins import content
 from hypothesis import given
 from hypothesis import strategies as st
 
+from filbertlift_standins import content
+
 LENGTH = content.BLOCK_BYTES * 2 + 100
 
 
--- a/libs/standins/tests/test_link.py
+++ b/libs/standins/tests/test_link.py
@@ -2,10 +2,11 @@
 
 from typing import Any
 
-from filbertlift_standins import link
 import pytest
 from twisted.internet import testing
 
+from filbertlift_standins import link
+
 
 class Half(testing.StringTransport):
     aborted = False
--- a/libs/standins/tests/test_load.py
+++ b/libs/standins/tests/test_load.py
@@ -4,13 +4,14 @@
 import random
 from typing import Any
 
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
 from filbertlift_core import model
 from filbertlift_standins import client
 from filbertlift_standins import content
 from filbertlift_standins import load
-import pytest
-from twisted.internet import defer
-from twisted.internet import task
 
 ENTRY = model.Address("127.0.0.1", 1)
 SHORT = load.Operation.parse("counter=GET /desk/{n};share=0.5;work_ms=2")
--- a/libs/standins/tests/test_store.py
+++ b/libs/standins/tests/test_store.py
@@ -3,11 +3,12 @@
 import random
 from typing import Any
 
-from filbertlift_standins import store
-from filbertlift_standins import web
 import pytest
 from twisted.internet import task
 
+from filbertlift_standins import store
+from filbertlift_standins import web
+
 
 @pytest.fixture
 def parts(make_client: Any) -> Any:
--- a/libs/standins/tests/test_target.py
+++ b/libs/standins/tests/test_target.py
@@ -2,15 +2,16 @@
 
 from typing import Any
 
-from filbertlift_standins import content
-from filbertlift_standins import target
-from filbertlift_standins import web
-from filbertlift_standins import work
 import pytest
 from twisted.internet import error
 from twisted.internet import task
 from twisted.python import failure
 
+from filbertlift_standins import content
+from filbertlift_standins import target
+from filbertlift_standins import web
+from filbertlift_standins import work
+
 
 @pytest.fixture
 def parts(make_client: Any) -> Any:
