Split the records of calls from the decisions

A refused repeat with another fingerprint now raises the attempt of the id, so that a second copy of its frame can't run after "not run" was told.

--- a/libs/calls/src/filbertlift_calls/admission.py
+++ b/libs/calls/src/filbertlift_calls/admission.py
@@ -21,6 +21,7 @@
 from filbertlift_calls import codes
 from filbertlift_calls import exceptions
 from filbertlift_calls import queues
+from filbertlift_calls import tickets
 from filbertlift_core import model
 
 CHECK: Final = model.WorkClass.CHECK
@@ -37,54 +38,6 @@
 STALE_HEAP: Final = 64
 
 
-@attrs.frozen
-class Start:
-    """The ticket has a slot; send its call to the target."""
-
-    ticket: queues.Ticket
-
-
-@attrs.frozen
-class Queued:
-    """The ticket waits for a slot."""
-
-    ticket: queues.Ticket
-
-
-@attrs.frozen
-class Shed:
-    """The ticket was refused at once.
-
-    Attributes:
-        ticket: the ticket.
-        code: why.
-        retry_after_s: when the work now ahead of it should be done, by the
-            measured service times.
-    """
-
-    ticket: queues.Ticket
-    code: str
-    retry_after_s: float
-
-
-@attrs.frozen
-class Drop:
-    """The ticket waited and lost its place without a slot."""
-
-    ticket: queues.Ticket
-    code: str
-
-
-@attrs.frozen
-class Load:
-    """Load of the target, for heartbeats and the dump."""
-
-    slots: int
-    running: tuple[int, ...]
-    queued: tuple[int, ...]
-    mean_s: tuple[float, ...]
-
-
 @attrs.define(eq=False)
 class Mean:
     """Running average of service times, in seconds; 0 while unmeasured."""
@@ -139,18 +92,20 @@
     short_seen: float = float("-inf")
     _total: int = 0
     _started: set[str] = attrs.field(factory=set)
-    _waiting: dict[str, queues.Ticket] = attrs.field(factory=dict)
+    _waiting: dict[str, tickets.Ticket] = attrs.field(factory=dict)
     _deadlines: list[tuple[float, str]] = attrs.field(factory=list)
 
-    def offer(self, ticket: queues.Ticket, now: float) -> Start | Queued | Shed:
+    def offer(
+        self, ticket: tickets.Ticket, now: float
+    ) -> tickets.Start | tickets.Queued | tickets.Shed:
         """Decides on a call that arrived."""
         work = ticket.work_class
         if work is not LONG:
             self.short_seen = now
         if self.paused is not None:
-            return Shed(ticket, self.paused, 0.0)
+            return tickets.Shed(ticket, self.paused, 0.0)
         if ticket.deadline <= now:
-            return Shed(ticket, codes.EXPIRED, 0.0)
+            return tickets.Shed(ticket, codes.EXPIRED, 0.0)
         if not self._waiting and self._has_slot(work, now):
             return self._start(ticket)
         if work is not LONG and self._may_pass(work, now):
@@ -158,8 +113,8 @@
         return self._enqueue(ticket, now)
 
     def release(
-        self, ticket: queues.Ticket, service_s: float, now: float
-    ) -> list[Start | Drop]:
+        self, ticket: tickets.Ticket, service_s: float, now: float
+    ) -> list[tickets.Start | tickets.Drop]:
         """Gives a slot back and returns what happens to waiting tickets.
 
         Args:
@@ -194,9 +149,9 @@
         self._compact()
         return True
 
-    def poll(self, now: float) -> list[Start | Drop]:
+    def poll(self, now: float) -> list[tickets.Start | tickets.Drop]:
         """Drops waiting work past its deadline and fills free slots."""
-        results: list[Start | Drop] = []
+        results: list[tickets.Start | tickets.Drop] = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, call_id = heapq.heappop(self._deadlines)
             ticket = self._waiting.get(call_id)
@@ -204,12 +159,14 @@
                 continue
             del self._waiting[call_id]
             self.policy.order.remove(ticket)
-            results.append(Drop(ticket, codes.EXPIRED))
+            results.append(tickets.Drop(ticket, codes.EXPIRED))
         if self._waiting:
             results += self._fill(now)
         return results
 
-    def set_slots(self, slots: int, now: float) -> list[Start | Drop]:
+    def set_slots(
+        self, slots: int, now: float
+    ) -> list[tickets.Start | tickets.Drop]:
         """Changes the slots; running work above the new number goes on.
 
         Raises:
@@ -224,23 +181,25 @@
         """Starts nothing more and sheds new offers with this code."""
         self.paused = code
 
-    def resume(self, now: float) -> list[Start | Drop]:
+    def resume(self, now: float) -> list[tickets.Start | tickets.Drop]:
         """Ends a pause."""
         self.paused = None
         return self._fill(now)
 
-    def clear(self, code: str) -> list[Drop]:
+    def clear(self, code: str) -> list[tickets.Drop]:
         """Drops all waiting work, so that it may run elsewhere."""
-        dropped = [Drop(ticket, code) for ticket in self._waiting.values()]
+        dropped = [
+            tickets.Drop(ticket, code) for ticket in self._waiting.values()
+        ]
         for drop in dropped:
             self.policy.order.remove(drop.ticket)
         self._waiting.clear()
         self._deadlines.clear()
         return dropped
 
-    def get_load(self) -> Load:
+    def get_load(self) -> tickets.Load:
         """Returns the load now."""
-        return Load(
+        return tickets.Load(
             self.slots,
             tuple(self.running),
             tuple(self.policy.order.counts),
@@ -279,27 +238,29 @@
             return False
         return self.policy.sheds_early and self._has_slot(work, now)
 
-    def _start(self, ticket: queues.Ticket) -> Start:
+    def _start(self, ticket: tickets.Ticket) -> tickets.Start:
         self.running[ticket.work_class] += 1
         self._total += 1
         self._started.add(ticket.call_id)
-        return Start(ticket)
+        return tickets.Start(ticket)
 
-    def _enqueue(self, ticket: queues.Ticket, now: float) -> Queued | Shed:
+    def _enqueue(
+        self, ticket: tickets.Ticket, now: float
+    ) -> tickets.Queued | tickets.Shed:
         work = ticket.work_class
         wait = self.estimate_wait(work)
         if self.policy.order.counts[work] >= self.queue_limit:
-            return Shed(ticket, codes.QUEUE_FULL, wait)
+            return tickets.Shed(ticket, codes.QUEUE_FULL, wait)
         late = wait + self.means[work].value - (ticket.deadline - now)
         if self.policy.sheds_early and late > 0:
-            return Shed(ticket, codes.WAIT, late)
+            return tickets.Shed(ticket, codes.WAIT, late)
         self._waiting[ticket.call_id] = ticket
         self.policy.order.push(ticket)
         heapq.heappush(self._deadlines, (ticket.deadline, ticket.call_id))
-        return Queued(ticket)
+        return tickets.Queued(ticket)
 
-    def _fill(self, now: float) -> list[Start | Drop]:
-        results: list[Start | Drop] = []
+    def _fill(self, now: float) -> list[tickets.Start | tickets.Drop]:
+        results: list[tickets.Start | tickets.Drop] = []
         if self.paused is not None:
             return results
         while self._waiting and self._total < self.slots:
@@ -309,7 +270,7 @@
                 break
             del self._waiting[ticket.call_id]
             if ticket.deadline <= now:
-                results.append(Drop(ticket, codes.EXPIRED))
+                results.append(tickets.Drop(ticket, codes.EXPIRED))
                 continue
             results.append(self._start(ticket))
         self._compact()
--- a/libs/calls/src/filbertlift_calls/choice.py
+++ b/libs/calls/src/filbertlift_calls/choice.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from filbertlift_calls import targets
 from filbertlift_calls import views
 from filbertlift_core import model
 
@@ -34,7 +35,7 @@
 
 PLAIN: Final = Wish()
 Choose = Callable[
-    [views.ServiceViews, Wish, float, random.Random], views.TargetView | None
+    [views.ServiceViews, Wish, float, random.Random], targets.TargetView | None
 ]
 
 
@@ -48,13 +49,13 @@
             outcome of an earlier attempt: a repeat must name no incarnation.
     """
 
-    view: views.TargetView
+    view: targets.TargetView
     is_shifted: bool
 
 
 def choose(
     service: views.ServiceViews, wish: Wish, now: float, rng: random.Random
-) -> views.TargetView | None:
+) -> targets.TargetView | None:
     """Returns the better of two random targets in the nearest free tier.
 
     Targets of other regions are taken only when nearer ones are full and the
@@ -65,13 +66,13 @@
         local = _find_local(service, wish)
         if local is not None:
             return local
-    fallback: views.TargetView | None = None
-    for tier in views.Tier:
+    fallback: targets.TargetView | None = None
+    for tier in targets.Tier:
         candidate = _draw(service, tier, wish, now, rng)
         if candidate is None:
             continue
         is_free = _is_free(service, candidate, now)
-        if tier is views.Tier.ELSEWHERE:
+        if tier is targets.Tier.ELSEWHERE:
             is_useful = is_free or fallback is None
             if is_useful and service.link_budget.take(wish.size, now):
                 return candidate
@@ -90,7 +91,7 @@
         wish: Wish,
         now: float,  # noqa: ARG001
         rng: random.Random,  # noqa: ARG001
-    ) -> views.TargetView | None:
+    ) -> targets.TargetView | None:
         listed = list(service.views.values())
         for _ in listed:
             service.turn += 1
@@ -140,7 +141,7 @@
 
 def _find_local(
     service: views.ServiceViews, wish: Wish
-) -> views.TargetView | None:
+) -> targets.TargetView | None:
     if service.local is None or service.local in wish.excluded:
         return None
     view = service.views.get(service.local)
@@ -151,16 +152,16 @@
 
 def _draw(
     service: views.ServiceViews,
-    tier: views.Tier,
+    tier: targets.Tier,
     wish: Wish,
     now: float,
     rng: random.Random,
-) -> views.TargetView | None:
+) -> targets.TargetView | None:
     """Returns a due probe, or the best of a few random targets of a tier."""
     probe = service.find_probe(tier, now)
     if probe is not None and probe.target.address not in wish.excluded:
         return probe
-    best: views.TargetView | None = None
+    best: targets.TargetView | None = None
     for _ in range(MAX_DRAWS):
         pair = _draw_pair(service.tiers[tier], wish, rng)
         for view in pair:
@@ -174,8 +175,8 @@
 
 
 def _draw_pair(
-    listed: list[views.TargetView], wish: Wish, rng: random.Random
-) -> tuple[views.TargetView, ...]:
+    listed: list[targets.TargetView], wish: Wish, rng: random.Random
+) -> tuple[targets.TargetView, ...]:
     """Returns two different random targets, fewer when there are no more."""
     if wish.excluded:
         listed = [v for v in listed if v.target.address not in wish.excluded]
@@ -191,15 +192,15 @@
 
 def _is_better(
     service: views.ServiceViews,
-    view: views.TargetView,
-    other: views.TargetView,
+    view: targets.TargetView,
+    other: targets.TargetView,
     now: float,
 ) -> bool:
     return score(service, view, now) < score(service, other, now)
 
 
 def score(
-    service: views.ServiceViews, view: views.TargetView, now: float
+    service: views.ServiceViews, view: targets.TargetView, now: float
 ) -> float:
     """Returns the expected time of one more call there, weighted.
 
@@ -220,7 +221,7 @@
 
 
 def _is_free(
-    service: views.ServiceViews, view: views.TargetView, now: float
+    service: views.ServiceViews, view: targets.TargetView, now: float
 ) -> bool:
     if view.in_flight >= service.slots:
         return False
--- a/libs/calls/src/filbertlift_calls/keeper.py
+++ b/libs/calls/src/filbertlift_calls/keeper.py
@@ -321,13 +321,14 @@
 ) -> records.Repeat | records.Refused:
     if entry.state is records.CallState.ABSENT:
         return records.Refused(call.call_id, entry.code, model.Outcome.NOT_RUN)
+    # Also when refused below: a second copy of the frame must not run.
+    entry.attempt = max(entry.attempt, call.attempt)
     if entry.fingerprint != call.fingerprint:
         return records.Refused(
             call.call_id, codes.KEY_REUSED, model.Outcome.NOT_RUN
         )
     if entry.state in _OPEN:
         entry.askers += 1
-        entry.attempt = max(entry.attempt, call.attempt)
     return records.Repeat(
         call.call_id, entry.state, entry.outcome, entry.answer
     )
--- a/libs/calls/src/filbertlift_calls/queues.py
+++ b/libs/calls/src/filbertlift_calls/queues.py
@@ -6,29 +6,13 @@
 
 import attrs
 
+from filbertlift_calls import tickets
 from filbertlift_core import model
 
 # Iterating the enumeration itself costs more than the queue does.
 _CLASSES: Final = tuple(model.WorkClass)
 _SHORT: Final = (model.WorkClass.CHECK, model.WorkClass.COUNTER)
-_Waiting = OrderedDict[str, "Ticket"]
-
-
-@attrs.define(eq=False)
-class Ticket:
-    """One call that wants a slot.
-
-    Attributes:
-        call_id: id of the call.
-        caller: name of the caller, for turns.
-        work_class: class of the operation.
-        deadline: seconds, by the clock of this node.
-    """
-
-    call_id: str
-    caller: str
-    work_class: model.WorkClass
-    deadline: float
+_Waiting = OrderedDict[str, tickets.Ticket]
 
 
 @attrs.frozen
@@ -44,9 +28,9 @@
     """
 
     counts: list[int]
-    push: Callable[[Ticket], None]
-    pop: Callable[[bool], Ticket | None]
-    remove: Callable[[Ticket], None]
+    push: Callable[[tickets.Ticket], None]
+    pop: Callable[[bool], tickets.Ticket | None]
+    remove: Callable[[tickets.Ticket], None]
 
 
 def make_priority_order() -> Order:
@@ -54,7 +38,7 @@
     counts = [0] * len(model.WorkClass)
     lines: list[OrderedDict[str, _Waiting]] = [OrderedDict() for _ in counts]
 
-    def push(ticket: Ticket) -> None:
+    def push(ticket: tickets.Ticket) -> None:
         line = lines[ticket.work_class]
         waiting = line.get(ticket.caller)
         if waiting is None:
@@ -62,14 +46,14 @@
         waiting[ticket.call_id] = ticket
         counts[ticket.work_class] += 1
 
-    def pop(takes_long: bool) -> Ticket | None:
+    def pop(takes_long: bool) -> tickets.Ticket | None:
         for work in _CLASSES if takes_long else _SHORT:
             if counts[work]:
                 counts[work] -= 1
                 return _pop_turn(lines[work])
         return None
 
-    def remove(ticket: Ticket) -> None:
+    def remove(ticket: tickets.Ticket) -> None:
         line = lines[ticket.work_class]
         waiting = line[ticket.caller]
         del waiting[ticket.call_id]
@@ -80,7 +64,7 @@
     return Order(counts, push, pop, remove)
 
 
-def _pop_turn(line: OrderedDict[str, _Waiting]) -> Ticket:
+def _pop_turn(line: OrderedDict[str, _Waiting]) -> tickets.Ticket:
     """Takes the next caller's oldest ticket and ends its turn."""
     caller, waiting = next(iter(line.items()))
     _, ticket = waiting.popitem(last=False)
@@ -96,18 +80,18 @@
     counts = [0] * len(model.WorkClass)
     waiting: _Waiting = OrderedDict()
 
-    def push(ticket: Ticket) -> None:
+    def push(ticket: tickets.Ticket) -> None:
         waiting[ticket.call_id] = ticket
         counts[ticket.work_class] += 1
 
-    def pop(takes_long: bool) -> Ticket | None:  # noqa: ARG001
+    def pop(takes_long: bool) -> tickets.Ticket | None:  # noqa: ARG001
         if not waiting:
             return None
         _, ticket = waiting.popitem(last=False)
         counts[ticket.work_class] -= 1
         return ticket
 
-    def remove(ticket: Ticket) -> None:
+    def remove(ticket: tickets.Ticket) -> None:
         del waiting[ticket.call_id]
         counts[ticket.work_class] -= 1
 
--- a/libs/calls/src/filbertlift_calls/views.py
+++ b/libs/calls/src/filbertlift_calls/views.py
@@ -1,7 +1,6 @@
 """What one entry node knows of the targets of one service."""
 
 from collections.abc import Iterable
-import enum
 import hashlib
 import heapq
 from typing import Final
@@ -10,6 +9,7 @@
 
 from filbertlift_calls import budgets
 from filbertlift_calls import exceptions
+from filbertlift_calls import targets
 from filbertlift_core import model
 
 # A target is slow when its average is over this many times the median.
@@ -17,7 +17,6 @@
 # It is left out after it was slow, or silent, for this time, in seconds.
 SLOW_AFTER_S: Final = 0.3
 # Time left out; doubles with each failed probe up to the limit, in seconds.
-EJECT_S: Final = 0.3
 MAX_EJECT_S: Final = 10.0
 # Failures in a row after which a target is left out.
 MAX_FAILURES: Final = 3
@@ -40,86 +39,7 @@
 LATENCY_FLOOR_S: Final = 0.001
 _NEVER: Final = float("-inf")
 
-
-class Tier(enum.IntEnum):
-    """Distance of a target from this node; the nearest is tried first."""
-
-    DATA_CENTRE = 0
-    REGION = 1
-    ELSEWHERE = 2
-
-
-@attrs.frozen
-class Target:
-    """A target as the member table lists it, by the address of its node."""
-
-    address: model.Address
-    incarnation: int
-    place: model.Place
-
-
-@attrs.define(eq=False)
-class TargetView:
-    """One target as this node sees it.
-
-    Attributes:
-        target: address, incarnation and place.
-        tier: distance from here.
-        seed: number for the ranking of keys.
-        born: when it appeared, in seconds; minus infinity for one that was
-            there when this node started.
-        in_flight: calls sent from here and not ended.
-        short_in_flight: those of them that are not LONG.
-        queue: waiting calls that it reported last.
-        queue_at: when it reported them.
-        latency_s: average time of short calls.
-        samples: how many were measured.
-        slow_since: when it became slow, or None.
-        heard: when a short call ended, or the first of those in flight went.
-        penalty: factor of the score after failures.
-        penalty_until: when the penalty ends.
-        failures: failures since the last answer.
-        ejected_until: when it may be probed; None while it takes part.
-        eject_s: how long the next ejection lasts.
-        probing: whether a probe is out.
-        vanished: it is no longer listed; answers may still come.
-    """
-
-    target: Target
-    tier: Tier
-    seed: int
-    born: float
-    in_flight: int = 0
-    short_in_flight: int = 0
-    queue: int = 0
-    queue_at: float = _NEVER
-    latency_s: float = 0.0
-    samples: int = 0
-    slow_since: float | None = None
-    heard: float = _NEVER
-    penalty: float = 1.0
-    penalty_until: float = _NEVER
-    failures: int = 0
-    ejected_until: float | None = None
-    eject_s: float = EJECT_S
-    probing: bool = False
-    vanished: bool = False
-
-
-@attrs.frozen
-class LostTarget:
-    """A target that vanished.
-
-    Attributes:
-        seed: number for the ranking of keys.
-        since: when it vanished, in seconds.
-    """
-
-    seed: int
-    since: float
-
-
-_Probe = tuple[float, int, TargetView]
+_Probe = tuple[float, int, targets.TargetView]
 
 
 @attrs.define(eq=False)
@@ -144,11 +64,13 @@
     local: model.Address | None
     slots: int
     link_budget: budgets.LinkBudget
-    views: dict[model.Address, TargetView] = attrs.field(factory=dict)
-    tiers: tuple[list[TargetView], list[TargetView], list[TargetView]] = (
-        attrs.field(factory=lambda: ([], [], []))
-    )
-    lost: dict[model.Address, LostTarget] = attrs.field(factory=dict)
+    views: dict[model.Address, targets.TargetView] = attrs.field(factory=dict)
+    tiers: tuple[
+        list[targets.TargetView],
+        list[targets.TargetView],
+        list[targets.TargetView],
+    ] = attrs.field(factory=lambda: ([], [], []))
+    lost: dict[model.Address, targets.LostTarget] = attrs.field(factory=dict)
     ejected: int = 0
     medians_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
     turn: int = 0
@@ -156,14 +78,15 @@
     _probes: tuple[list[_Probe], list[_Probe], list[_Probe]] = attrs.field(
         factory=lambda: ([], [], [])
     )
+    _ejections: int = 0
     _updated: bool = False
 
-    def update(self, targets: Iterable[Target], now: float) -> None:
+    def update(self, present: Iterable[targets.Target], now: float) -> None:
         """Takes the present list of targets; forgets those that vanished.
 
         A target with a new incarnation is a new one at an old address.
         """
-        listed = {target.address: target for target in targets}
+        listed = {target.address: target for target in present}
         for address, view in list(self.views.items()):
             target = listed.get(address)
             if target is None or target != view.target:
@@ -177,7 +100,7 @@
                 del self.lost[address]
 
     def note_sent(
-        self, view: TargetView, work: model.WorkClass, now: float
+        self, view: targets.TargetView, work: model.WorkClass, now: float
     ) -> None:
         """Records that a call goes to this target."""
         view.in_flight += 1
@@ -191,7 +114,7 @@
 
     def note_answer(
         self,
-        view: TargetView,
+        view: targets.TargetView,
         work: model.WorkClass,
         latency_s: float,
         queue: int,
@@ -224,7 +147,7 @@
         self._judge(view, now)
 
     def note_failure(
-        self, view: TargetView, work: model.WorkClass, now: float
+        self, view: targets.TargetView, work: model.WorkClass, now: float
     ) -> None:
         """Records that a call ended without an answer or was refused."""
         self._note_end(view, work, now)
@@ -237,13 +160,13 @@
             self.eject(view, now)
 
     def note_dropped(
-        self, view: TargetView, work: model.WorkClass, now: float
+        self, view: targets.TargetView, work: model.WorkClass, now: float
     ) -> None:
         """Records the end of a call that says nothing about the target."""
         self._note_end(view, work, now)
         self._end_probe(view, now, False)
 
-    def is_silent(self, view: TargetView, now: float) -> bool:
+    def is_silent(self, view: targets.TargetView, now: float) -> bool:
         """Returns whether short calls went out and none came back in time."""
         median_s = self.get_median(view)
         if view.short_in_flight == 0 or not median_s:
@@ -251,7 +174,7 @@
         limit = max(SLOW_AFTER_S, SLOW_FACTOR * median_s)
         return now - view.heard > limit
 
-    def eject(self, view: TargetView, now: float) -> bool:
+    def eject(self, view: targets.TargetView, now: float) -> bool:
         """Leaves a target out; False when half of them are out already."""
         if view.vanished or view.ejected_until is not None:
             return False
@@ -262,12 +185,15 @@
         self._set_probe(view, now)
         return True
 
-    def find_probe(self, tier: Tier, now: float) -> TargetView | None:
+    def find_probe(
+        self, tier: targets.Tier, now: float
+    ) -> targets.TargetView | None:
         """Returns a left out target whose single probe is due."""
         probes = self._probes[tier]
         while probes and probes[0][0] <= now:
             due, _, view = probes[0]
-            if view.ejected_until == due and not view.probing:
+            is_due = view.ejected_until == due and not view.probing
+            if is_due and not view.vanished:
                 return view
             heapq.heappop(probes)
         return None
@@ -280,27 +206,29 @@
             if now - lost.since <= LOST_S
         ]
 
-    def get_median(self, view: TargetView) -> float:
+    def get_median(self, view: targets.TargetView) -> float:
         """Returns the median latency among targets as near as this one."""
-        return self.medians_s[view.tier is Tier.ELSEWHERE]
+        return self.medians_s[view.tier is targets.Tier.ELSEWHERE]
 
-    def _add(self, target: Target, born: float) -> None:
+    def _add(self, target: targets.Target, born: float) -> None:
         tier = _get_tier(self.place, target.place)
-        view = TargetView(target, tier, _make_seed(target.address), born)
+        view = targets.TargetView(
+            target, tier, _make_seed(target.address), born
+        )
         self.views[target.address] = view
         self.tiers[tier].append(view)
 
-    def _remove(self, view: TargetView, now: float) -> None:
+    def _remove(self, view: targets.TargetView, now: float) -> None:
         view.vanished = True
         del self.views[view.target.address]
-        self.lost[view.target.address] = LostTarget(view.seed, now)
+        self.lost[view.target.address] = targets.LostTarget(view.seed, now)
         if view.ejected_until is None:
             self.tiers[view.tier].remove(view)
             return
         self.ejected -= 1
 
     def _note_end(
-        self, view: TargetView, work: model.WorkClass, now: float
+        self, view: targets.TargetView, work: model.WorkClass, now: float
     ) -> None:
         if view.in_flight <= 0:
             raise exceptions.ChoiceError(
@@ -312,10 +240,10 @@
         view.short_in_flight -= 1
         view.heard = now
 
-    def _get_slow_limit(self, view: TargetView) -> float:
+    def _get_slow_limit(self, view: targets.TargetView) -> float:
         return SLOW_FACTOR * max(self.get_median(view), LATENCY_FLOOR_S)
 
-    def _judge(self, view: TargetView, now: float) -> None:
+    def _judge(self, view: targets.TargetView, now: float) -> None:
         """Leaves a target out that has been slow for long enough."""
         limit = self._get_slow_limit(view)
         if view.samples < MIN_SAMPLES or view.latency_s <= limit:
@@ -327,7 +255,7 @@
             self.eject(view, now)
 
     def _judge_probe(
-        self, view: TargetView, latency_s: float, now: float
+        self, view: targets.TargetView, latency_s: float, now: float
     ) -> None:
         if not view.probing:
             return
@@ -336,7 +264,9 @@
         if view.ejected_until is None:
             view.latency_s = latency_s
 
-    def _end_probe(self, view: TargetView, now: float, passed: bool) -> None:
+    def _end_probe(
+        self, view: targets.TargetView, now: float, passed: bool
+    ) -> None:
         if view.ejected_until is None or not view.probing:
             return
         view.probing = False
@@ -344,19 +274,21 @@
             self._set_probe(view, now)
             return
         view.ejected_until = None
-        view.eject_s = EJECT_S
+        view.eject_s = targets.EJECT_S
         view.slow_since = None
         if view.vanished:
             return
         self.ejected -= 1
         self.tiers[view.tier].append(view)
 
-    def _set_probe(self, view: TargetView, now: float) -> None:
+    def _set_probe(self, view: targets.TargetView, now: float) -> None:
+        self._ejections += 1
         view.ejected_until = now + view.eject_s
         view.eject_s = min(MAX_EJECT_S, 2 * view.eject_s)
         if not view.vanished:
             heapq.heappush(
-                self._probes[view.tier], (view.ejected_until, view.seed, view)
+                self._probes[view.tier],
+                (view.ejected_until, self._ejections, view),
             )
 
     def _refresh_median(self, now: float) -> None:
@@ -368,19 +300,19 @@
                 view.latency_s
                 for view in self.views.values()
                 if view.samples >= MIN_SAMPLES
-                and (view.tier is Tier.ELSEWHERE) is is_far
+                and (view.tier is targets.Tier.ELSEWHERE) is is_far
             )
             # The lower middle: of two targets the slow one must not set it.
             middle = (len(values) - 1) // 2
             self.medians_s[is_far] = values[middle] if values else 0.0
 
 
-def _get_tier(here: model.Place, there: model.Place) -> Tier:
+def _get_tier(here: model.Place, there: model.Place) -> targets.Tier:
     if here.region != there.region:
-        return Tier.ELSEWHERE
+        return targets.Tier.ELSEWHERE
     if here.data_centre != there.data_centre:
-        return Tier.REGION
-    return Tier.DATA_CENTRE
+        return targets.Tier.REGION
+    return targets.Tier.DATA_CENTRE
 
 
 def _make_seed(address: model.Address) -> int:
