--- a/libs/calls/src/filbertlift_calls/records.py
+++ b/libs/calls/src/filbertlift_calls/records.py
@@ -1,6 +1,7 @@
 """Records that the keeper takes and returns."""
 
 import enum
+from typing import Any
 from typing import Final
 
 import attrs
@@ -47,19 +48,26 @@
     deadline: float
 
 
+# Memory of one header, roughly.
+HEADER_BYTES: Final = 128
+
+
 @attrs.frozen
 class KeptAnswer:
-    """An answer as it is sent to the first asker and to repeats."""
+    """An answer as it is sent to the first asker and to repeats.
+
+    The headers are kept as they came; only their number counts here.
+    """
 
     outcome: model.Outcome
     code: str
     status: int
-    headers: tuple[tuple[bytes, bytes], ...] = ()
+    headers: tuple[Any, ...] = ()
     body: bytes = b""
 
     def count_bytes(self) -> int:
         """Returns the memory that the answer takes, roughly."""
-        return len(self.body) + sum(len(k) + len(v) for k, v in self.headers)
+        return len(self.body) + HEADER_BYTES * len(self.headers)
 
 
 @attrs.frozen
--- a/libs/node/src/filbertlift_node/__main__.py
+++ b/libs/node/src/filbertlift_node/__main__.py
@@ -1,5 +1,6 @@
 """Command line of `filbertlift-node`."""
 
+from collections.abc import Callable
 import json
 import os
 import signal
@@ -7,6 +8,7 @@
 from typing import Any
 
 from twisted.internet import error
+from twisted.internet import reactor as default_reactor
 import typer
 
 from filbertlift_core import commands
@@ -20,8 +22,7 @@
 
 def serve(flags: dict[str, str | None]) -> int:
     """Runs a node until it was stopped; returns the exit status."""
-    from twisted.internet import reactor
-
+    reactor: Any = default_reactor
     logs.start_logs()
     try:
         settings = node_settings.NodeSettings.from_sources(flags, os.environ)
@@ -35,7 +36,7 @@
         print(f"filbertlift-node: {problem}", file=sys.stderr)
         return env.EXIT_FAILURE
     _install_signals(reactor, node)
-    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    reactor.run(installSignalHandlers=False)
     return node.exit_status
 
 
@@ -48,16 +49,13 @@
     def print_dump() -> None:
         print(json.dumps(dump.describe_state(node)), file=sys.stderr)
 
-    actions = {
-        signal.SIGTERM: stop,
-        signal.SIGINT: stop,
-        signal.SIGUSR1: print_dump,
-    }
-    for number, action in actions.items():
-        signal.signal(
-            number,
-            lambda _number, _frame, run=action: reactor.callFromThread(run),
-        )
+    def install(number: signal.Signals, action: Callable[[], None]) -> None:
+        # Wakes the loop, which the signal alone does not.
+        signal.signal(number, lambda *_: reactor.callFromThread(action))
+
+    install(signal.SIGTERM, stop)
+    install(signal.SIGINT, stop)
+    install(signal.SIGUSR1, print_dump)
 
 
 def run() -> None:
--- a/libs/node/src/filbertlift_node/control.py
+++ b/libs/node/src/filbertlift_node/control.py
@@ -89,7 +89,7 @@
     _readers: dict[model.Address, updates.UpdateReader] = attrs.field(
         factory=dict
     )
-    _runners: dict[type, Callable[[Any], None]] = attrs.field(factory=dict)
+    _runners: dict[type, Callable[[Any], object]] = attrs.field(factory=dict)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
     _revision: int = -1
     _heard_at: float = float("-inf")
@@ -421,7 +421,7 @@
         for action in actions:
             self._runners[type(action)](action)
 
-    def _list_runners(self) -> dict[type, Callable[[Any], None]]:
+    def _list_runners(self) -> dict[type, Callable[[Any], object]]:
         send = self._links.send
 
         def put_in_force(action: replicas.PutInForce) -> None:
--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -12,6 +12,7 @@
 from filbertlift_calls import budgets
 from filbertlift_calls import choice
 from filbertlift_calls import codes
+from filbertlift_calls import targets
 from filbertlift_calls import views
 from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import routes
@@ -22,7 +23,7 @@
 from filbertlift_node import links as link_tables
 from filbertlift_node import metrics as node_metrics
 from filbertlift_node import relay as relays
-from filbertlift_node import remote
+from filbertlift_node import remote as remotes
 from filbertlift_node import replies
 from filbertlift_node import settlements
 from filbertlift_transport import server
@@ -73,7 +74,7 @@
     address: model.Address
     sources: EntrySources
     links: link_tables.LinkTable
-    remote: remote.RemoteCalls
+    remote: remotes.RemoteCalls
     relay: relays.Relay
     metrics: node_metrics.NodeMetrics
     rng: random.Random
@@ -96,7 +97,7 @@
         own: model.Member,
         sources: EntrySources,
         link_table: link_tables.LinkTable,
-        remote_calls: remote.RemoteCalls,
+        remote_calls: remotes.RemoteCalls,
         relay: relays.Relay,
         metrics: node_metrics.NodeMetrics,
         rng: random.Random,
@@ -129,7 +130,7 @@
         self.verifier = verifier
         for name, service in self._services.items():
             if table.has_service(name):
-                service.slots = table.get_policy(name).slots
+                service.slots = table.service_policy(name).slots
 
     def refresh_targets(self) -> None:
         """Takes over a change of the member table."""
@@ -146,7 +147,7 @@
         found = views.ServiceViews(
             place=self.place,
             local=self.address,
-            slots=self.table.get_policy(name).slots,
+            slots=self.table.service_policy(name).slots,
             link_budget=self.link_budget,
         )
         found.update(self._list_targets(name), self.reactor.seconds())
@@ -268,9 +269,9 @@
         text = "\0".join((caller, service, key))
         return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
-    def _list_targets(self, name: str) -> list[views.Target]:
+    def _list_targets(self, name: str) -> list[targets.Target]:
         return [
-            views.Target(member.address, member.incarnation, member.place)
+            targets.Target(member.address, member.incarnation, member.place)
             for member in self.sources.list_targets(name)
         ]
 
--- a/libs/node/src/filbertlift_node/flow.py
+++ b/libs/node/src/filbertlift_node/flow.py
@@ -8,6 +8,7 @@
 from filbertlift_calls import choice
 from filbertlift_calls import codes
 from filbertlift_calls import outcomes
+from filbertlift_calls import targets
 from filbertlift_calls import views
 from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import routes
@@ -44,7 +45,7 @@
     """
 
     service: views.ServiceViews
-    view: views.TargetView
+    view: targets.TargetView
     sent_at: float
     attempt: attempts.Attempt | None = None
     incarnation: int = 0
@@ -124,10 +125,11 @@
 
     def _choose(
         self, service: views.ServiceViews, now: float
-    ) -> views.TargetView | None:
+    ) -> targets.TargetView | None:
         entry = self._entry
         if self.call.keyed and not self.route.idempotent:
-            keyed = choice.choose_by_key(service, self.call.call_id.decode())
+            key = self.call.call_id.decode()
+            keyed = choice.choose_by_key(service, key, now)
             return keyed.view if keyed else None
         wish = choice.Wish(
             excluded=[item.view.target.address for item in self._tries],
@@ -207,10 +209,13 @@
     # Hedging.
 
     def _plan_hedge(self) -> None:
-        service = self._entry.find_views(self.route.service)
-        if not service.median_s:
+        if not self._tries:
+            return
+        first = self._tries[0]
+        median_s = first.service.get_median(first.view)
+        if not median_s:
             return
-        delay = max(views.LATENCY_FLOOR_S, views.SLOW_FACTOR * service.median_s)
+        delay = max(views.LATENCY_FLOOR_S, views.SLOW_FACTOR * median_s)
         self._hedge_timer = self._entry.reactor.callLater(delay, self._hedge)
 
     def _hedge(self) -> None:
--- a/libs/node/src/filbertlift_node/links.py
+++ b/libs/node/src/filbertlift_node/links.py
@@ -27,13 +27,11 @@
         on_up: the first link to a peer is up.
         on_down: the last link to a peer is lost.
         on_lost: a link is lost, whether or not another one remains.
-        on_unreachable: a peer that was to be linked could not be.
     """
 
     on_up: Callable[[model.Member], None]
     on_down: Callable[[model.Member], None]
     on_lost: Callable[[links.Link], None]
-    on_unreachable: Callable[[model.Address], None]
 
 
 @attrs.define
@@ -155,7 +153,6 @@
             elif opened is not None:
                 self._failed_at[opened] = self._reactor.seconds()
                 self._finish_opening(opened)
-                self._watchers.on_unreachable(opened)
 
         return links.LinkEvents(handle_up, self._dispatch, handle_down)
 
--- a/libs/node/src/filbertlift_node/node.py
+++ b/libs/node/src/filbertlift_node/node.py
@@ -4,13 +4,11 @@
 import time
 from typing import Any
 
-import attrs
 from twisted.internet import defer
 
 from filbertlift_calls import admission as admissions
 from filbertlift_calls import codes
 from filbertlift_calls import keeper as keepers
-from filbertlift_config import exceptions as config_exceptions
 from filbertlift_config import routes
 from filbertlift_config import snapshot as snapshots
 from filbertlift_config import tokens
@@ -57,33 +55,83 @@
 }
 
 
-@attrs.define(eq=False)
 class Node:
     """One node, from its listeners to its graceful stop.
 
     Attributes:
         settings: the checked settings.
         incarnation: number of this life of the process.
+        metrics: counters of the node.
+        links: links to other nodes.
+        datagrams: UDP port.
+        control: members, versions and freshness.
+        relay: queue and slots beside the target.
+        remote: calls sent to other keepers.
+        entry: calls of callers.
         exit_status: status with which the process should end.
     """
 
-    _reactor: Any
-    settings: node_settings.NodeSettings
-    incarnation: int
-    _rng: random.Random
-    metrics: node_metrics.NodeMetrics = attrs.field(
-        factory=node_metrics.NodeMetrics.create
-    )
-    exit_status: int = env.EXIT_OK
-    _store: interface.Store | None = None
-    _watcher: watcher.StoreWatcher | None = None
-    _rosters: joining.RosterKeeper | None = None
-    _is_marked_leaving: bool = False
-    _stopped: defer.Deferred[int] | None = None
-
-    def __attrs_post_init__(self) -> None:
-        self.lifecycle_hooks = lifecycle.LifecycleHooks(self._enter)
-        self._lifecycle = lifecycle.make_lifecycle(self.lifecycle_hooks)
+    def __init__(
+        self,
+        reactor: Any,
+        settings: node_settings.NodeSettings,
+        incarnation: int,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._rng = rng
+        self.settings = settings
+        self.incarnation = incarnation
+        self.metrics = node_metrics.NodeMetrics.create()
+        self.exit_status = env.EXIT_OK
+        self._hooks = lifecycle.LifecycleHooks(self._enter)
+        self._lifecycle = lifecycle.make_lifecycle(self._hooks)
+        self._own = self._make_member()
+        self.links = self._make_links()
+        self.datagrams = datagrams.DatagramPort(
+            settings.secrets,
+            lambda message, _sender: self.control.handle_datagram(message),
+        )
+        self.control = control.ControlPlane.create(
+            reactor,
+            control.ControlEvents(
+                self._put_in_force,
+                self._lifecycle.suspend,
+                self._confirm,
+                self._refresh_members,
+                self._read_head,
+            ),
+            self.links,
+            self.datagrams,
+            self._own,
+            rng,
+        )
+        self._pool = client.HttpPool.from_address(
+            reactor, settings.target, DEFAULT_CONNECTIONS
+        )
+        self.relay = self._make_relay()
+        self.remote = remote.RemoteCalls(self.links)
+        self.entry = self._make_entry()
+        self._inbound = self._make_inbound()
+        self._health = health.TargetHealth(
+            reactor, self._pool, self._change_target
+        )
+        self._store = self._make_store()
+        self._watcher = self._make_watcher()
+        self._rosters = self._make_rosters()
+        self._joiner = joining.Joiner(
+            reactor,
+            self.links,
+            self._own,
+            settings.peers,
+            self._store,
+            settings.cluster,
+            rng,
+            lambda: bool(self.links.list_links()),
+        )
+        self._server: server.HttpServer | None = None
+        self._pages: Any = None
+        self._stopped: defer.Deferred[int] | None = None
 
     @classmethod
     def from_settings(
@@ -103,9 +151,6 @@
         Raises:
             CannotListenError: if an address is in use.
         """
-        self._build_control()
-        self._build_calls()
-        self._build_store()
         settings = self.settings
         self.links.start(settings.link)
         self.datagrams.start(self._reactor, settings.link)
@@ -123,7 +168,7 @@
         )
         self.relay.start()
         self.remote.start()
-        self.inbound.start()
+        self._inbound.start()
         self.control.start()
         self._health.start()
         self._joiner.start(self._rng.uniform(0, settings.start_jitter))
@@ -150,9 +195,9 @@
 
     # Parts.
 
-    def _build_control(self) -> None:
+    def _make_member(self) -> model.Member:
         settings = self.settings
-        own = model.Member(
+        return model.Member(
             address=settings.link,
             place=settings.place,
             service=settings.service,
@@ -161,134 +206,111 @@
             state=model.MemberState.ALIVE,
             status=settings.status,
         )
-        self._first_member = own
+
+    def _make_links(self) -> link_tables.LinkTable:
+        settings = self.settings
         identity = links.LinkIdentity(
             settings.cluster,
             settings.secrets,
             # The incarnation of the keeper is that of the start; a refuted
             # suspicion raises that of the member only.
-            lambda: own,
+            lambda: self._own,
             lambda: self.control.make_heartbeat(),
             lambda: self.control.replica.state.version,
         )
-        self.links = link_tables.LinkTable(
-            self._reactor,
-            identity,
-            settings.find_proxy,
-            link_tables.LinkWatchers(
-                lambda peer: self.control.handle_up(peer),
-                lambda peer: self.control.handle_down(peer),
-                self._lose_link,
-                lambda _address: None,
-            ),
+        watchers = link_tables.LinkWatchers(
+            lambda peer: self.control.handle_up(peer),
+            lambda peer: self.control.handle_down(peer),
+            self._lose_link,
         )
-        self.datagrams = datagrams.DatagramPort(
-            settings.secrets,
-            lambda message, _sender: self.control.handle_datagram(message),
-        )
-        self.control = control.ControlPlane.create(
-            self._reactor,
-            control.ControlEvents(
-                self._put_in_force,
-                self._suspend,
-                self._confirm,
-                self._refresh_members,
-                self._read_head,
-            ),
-            self.links,
-            self.datagrams,
-            own,
-            self._rng,
+        return link_tables.LinkTable(
+            self._reactor, identity, settings.find_proxy, watchers
         )
 
-    def _build_calls(self) -> None:
-        settings = self.settings
-        is_plain = settings.policy == "fifo"
+    def _make_relay(self) -> relays.Relay:
         make_admission = (
             admissions.make_fifo_admission
-            if is_plain
+            if self.settings.policy == "fifo"
             else admissions.make_priority_admission
         )
-        self.pool = client.HttpPool.from_address(
-            self._reactor, settings.target, DEFAULT_CONNECTIONS
-        )
-        self.relay = relays.Relay(
+        return relays.Relay(
             self._reactor,
-            self.pool,
+            self._pool,
             keepers.Keeper.create(self.incarnation),
             make_admission(DEFAULT_SLOTS),
             lambda: self.control.replica.state.version,
         )
-        self.remote = remote.RemoteCalls(self.links)
-        self.entry = entries.Entry.create(
+
+    def _make_entry(self) -> entries.Entry:
+        table = self.control.table
+        sources = entries.EntrySources(
+            table.targets_of,
+            table.members.get,
+            self._get_age,
+            self.control.pull_version,
+        )
+        return entries.Entry.create(
             self._reactor,
-            self._first_member,
-            entries.EntrySources(
-                lambda name: self.control.table.targets_of(name),
-                lambda address: self.control.table.members.get(address),
-                self._get_age,
-                self.control.pull_version,
-            ),
+            self._own,
+            sources,
             self.links,
             self.remote,
             self.relay,
             self.metrics,
             self._rng,
-            settings.policy,
+            self.settings.policy,
         )
-        self.inbound = inbound.InboundCalls(
+
+    def _make_inbound(self) -> inbound.InboundCalls:
+        sources = inbound.InboundSources(
+            inbound.make_route_finder(
+                lambda: (self.entry.verifier, self.entry.table)
+            ),
+            self.control.pull_version,
+            lambda: self.control.replica.state.version,
+        )
+        self.links.handlers[messages.Chunk] = self._dispatch_chunk
+        return inbound.InboundCalls(
             self._reactor,
             self.links,
             self.relay,
-            inbound.InboundSources(
-                inbound.make_route_finder(
-                    lambda: (self.entry.verifier, self.entry.table)
-                ),
-                self.control.pull_version,
-                lambda: self.control.replica.state.version,
-            ),
-            settings.service,
+            sources,
+            self.settings.service,
         )
-        self.links.handlers[messages.Chunk] = self._dispatch_chunk
-        self._health = health.TargetHealth(
-            self._reactor, self.pool, self._change_target
+
+    def _make_store(self) -> interface.Store | None:
+        if not self.settings.store:
+            return None
+        return store_http.make_http_store(
+            self._reactor,
+            self.settings.store,
+            lambda _operation: self.metrics.store_calls.inc(),
         )
 
-    def _build_store(self) -> None:
-        settings = self.settings
-        if settings.store:
-            self._store = store_http.make_http_store(
-                self._reactor,
-                settings.store,
-                lambda _operation: self.metrics.store_calls.inc(),
-            )
-            self._watcher = watcher.StoreWatcher(
-                self._reactor,
-                self._store,
-                settings.cluster,
-                watcher.WatchEvents(
-                    self.control.receive_snapshot, self.control.receive_head
-                ),
-                self.control.find_held,
-                self._rng,
-            )
-            self._rosters = joining.RosterKeeper(
-                self._reactor,
-                self._store,
-                settings.cluster,
-                self._first_member,
-                lambda: self.control.table.live(),
-                self._list_lost,
-            )
-        self._joiner = joining.Joiner(
+    def _make_watcher(self) -> watcher.StoreWatcher | None:
+        if self._store is None:
+            return None
+        return watcher.StoreWatcher(
             self._reactor,
-            self.links,
-            self._first_member,
-            settings.peers,
             self._store,
-            settings.cluster,
+            self.settings.cluster,
+            watcher.WatchEvents(
+                self.control.receive_snapshot, self.control.receive_head
+            ),
+            self.control.find_held,
             self._rng,
-            lambda: bool(self.links.list_links()),
+        )
+
+    def _make_rosters(self) -> joining.RosterKeeper | None:
+        if self._store is None:
+            return None
+        return joining.RosterKeeper(
+            self._reactor,
+            self._store,
+            self.settings.cluster,
+            self._own,
+            self.control.table.live,
+            self._list_lost,
         )
 
     # Events of the control plane.
@@ -299,17 +321,10 @@
         verifier = tokens.TokenVerifier.from_snapshot(snapshot, entry.verifier)
         entry.put_in_force(table, verifier)
         self.metrics.version.set(snapshot.version)
-        try:
-            policy = table.get_policy(self.settings.service)
-        except config_exceptions.UnknownServiceError:
-            policy = None
-        if policy is not None:
-            self.relay.set_policy(policy)
+        if table.has_service(self.settings.service):
+            self.relay.set_policy(table.service_policy(self.settings.service))
         self._lifecycle.confirm()
 
-    def _suspend(self) -> None:
-        self._lifecycle.suspend()
-
     def _confirm(self) -> None:
         if self.control.replica.state.in_force is not None:
             self._lifecycle.confirm()
@@ -341,14 +356,14 @@
 
     def _lose_link(self, link: links.Link) -> None:
         self.remote.lose_link(link)
-        self.inbound.lose_link(link)
+        self._inbound.lose_link(link)
 
     def _dispatch_chunk(self, link: links.Link, chunk: messages.Chunk) -> None:
         # Streams that this end opened have the parity of its side.
         if chunk.stream % 2 == int(link.is_opener):
             self.remote.receive_chunk(link, chunk)
         else:
-            self.inbound.receive_chunk(link, chunk)
+            self._inbound.receive_chunk(link, chunk)
 
     def _list_lost(self) -> tuple[model.Address, ...]:
         return tuple(
@@ -401,6 +416,7 @@
         self._reactor.callLater(LAST_GOSSIP_S, self._close)
 
     def _close(self) -> None:
+        assert self._server is not None
         self._server.close()
         self._pages.stopListening()
         self._joiner.close()
@@ -422,4 +438,4 @@
     @property
     def state(self) -> str:
         """Name of the state of the lifecycle."""
-        return self.lifecycle_hooks.state
+        return self._hooks.state
--- a/libs/node/src/filbertlift_node/pages.py
+++ b/libs/node/src/filbertlift_node/pages.py
@@ -6,7 +6,6 @@
 
 import attrs
 import klein
-from twisted.internet import interfaces
 from twisted.web import http
 from twisted.web import server
 
@@ -69,11 +68,11 @@
 
 
 def listen_pages(
-    reactor: interfaces.IReactorTCP,
+    reactor: Any,
     address: model.Address,
     sources: PageSources,
-) -> interfaces.IListeningPort:
-    """Starts to serve the pages and returns the port, to be closed."""
+) -> Any:
+    """Starts to serve the pages; returns the port, which is to be stopped."""
     site = server.Site(make_app(sources).resource())
     site.displayTracebacks = False
     site.noisy = False
--- a/libs/node/src/filbertlift_node/relay.py
+++ b/libs/node/src/filbertlift_node/relay.py
@@ -10,8 +10,8 @@
 from filbertlift_calls import admission as admissions
 from filbertlift_calls import codes
 from filbertlift_calls import keeper as keepers
-from filbertlift_calls import queues
 from filbertlift_calls import records
+from filbertlift_calls import tickets
 from filbertlift_config import routes
 from filbertlift_core import model
 from filbertlift_node import attempts
@@ -35,7 +35,7 @@
     _relay: "Relay"
     call: messages.Call
     route: routes.Route
-    ticket: queues.Ticket
+    ticket: tickets.Ticket
     is_kept: bool
     listeners: list[attempts.Listener]
     started_at: float = 0.0
@@ -207,13 +207,15 @@
             # A hedge that came back to the same keeper.
             self._refuse(call, listener, codes.WITHDRAWN)
             return None
-        ticket = queues.Ticket(call_id, call.caller, route.work_class, deadline)
+        ticket = tickets.Ticket(
+            call_id, call.caller, route.work_class, deadline
+        )
         run = Run(self, call, route, ticket, is_kept, [listener])
         self._runs[call_id] = run
         result = self.admission.offer(ticket, now)
-        if isinstance(result, admissions.Start):
+        if isinstance(result, tickets.Start):
             self._start(run, now)
-        elif isinstance(result, admissions.Shed):
+        elif isinstance(result, tickets.Shed):
             self._drop(run, result.code, result.retry_after_s)
         return None if run.is_over else run
 
@@ -332,7 +334,7 @@
         self.carry_out(self.admission.resume(self._reactor.seconds()))
 
     def carry_out(
-        self, results: Iterable[admissions.Start | admissions.Drop]
+        self, results: Iterable[tickets.Start | tickets.Drop]
     ) -> None:
         """Starts and drops what the admission decided on."""
         now = self._reactor.seconds()
@@ -340,7 +342,7 @@
             run = self._runs.get(result.ticket.call_id)
             if run is None:
                 continue
-            if isinstance(result, admissions.Start):
+            if isinstance(result, tickets.Start):
                 self._start(run, now)
             else:
                 self._drop(run, result.code, 0.0)
