Run the thin path end to end

Cause: an attribute of the entry shadowed the module of the same name. Change: the module is imported under another name.

--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -19,7 +19,7 @@
 from filbertlift_config import tokens
 from filbertlift_core import env
 from filbertlift_core import model
-from filbertlift_node import flow as flows
+from filbertlift_node import flow as call_flows
 from filbertlift_node import links as link_tables
 from filbertlift_node import metrics as node_metrics
 from filbertlift_node import relay as relays
@@ -85,7 +85,7 @@
     table: routes.RoutingTable | None = None
     verifier: tokens.TokenVerifier | None = None
     refusal: str | None = codes.NOT_READY
-    flows: set[flows.Flow] = attrs.field(factory=set)
+    flows: set[call_flows.Flow] = attrs.field(factory=set)
     _services: dict[str, views.ServiceViews] = attrs.field(factory=dict)
     _id_prefix: str = attrs.field(factory=lambda: os.urandom(8).hex())
     _last_id: int = 0
@@ -190,7 +190,7 @@
         call = self._make_call(request, service, path, caller, route, depth)
         self.retry_budget.note_call()
         self.hedge_budget.note_call()
-        flow = flows.Flow.create(self, call, route, reply)
+        flow = call_flows.Flow.create(self, call, route, reply)
         self.flows.add(flow)
         flow.start()
 
