Add measurements of convergence, added time and pressure

Change: one module for each kind; calls and publications go through the same deployment as in the demo; policies alternate.

--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/convergence.py
@@ -0,0 +1,171 @@
+"""Measurement: time until a change is in force, and its cost."""
+
+from typing import Any
+
+import attrs
+
+from filbertlift_harness import control
+from filbertlift_harness import deployment as deployments
+from filbertlift_harness import exceptions
+from filbertlift_harness import figures
+from filbertlift_harness import pages
+from filbertlift_harness import publishing
+from filbertlift_harness import runs
+from filbertlift_harness import topology as topologies
+from filbertlift_harness import trees
+from filbertlift_standins import client
+
+_SIZES = (12, 24, 48)
+_PUBLICATIONS = 10
+_IDLE_S = 10.0
+_SETTLE_S = 2.0
+_LIMIT_S = 30.0
+# Pages cost the nodes CPU; only nodes that lack the version are polled.
+_POLL_S = 0.025
+
+
+@attrs.frozen
+class Change:
+    """One publication.
+
+    Attributes:
+        last_s: seconds from the write of the head to in force at the last
+            node, as seen by polls 25 ms apart.
+        cost: control cost from before the publication to 2 s after it was
+            in force everywhere.
+        seconds: length of that interval.
+    """
+
+    last_s: float
+    cost: control.ControlRate
+    seconds: float
+
+
+async def measure(reactor: Any) -> list[str]:
+    """Returns one line for each size of the fleet."""
+    return [await _measure_size(reactor, size) for size in _SIZES]
+
+
+async def _measure_size(reactor: Any, size: int) -> str:
+    topology = topologies.make_fleet(size)
+    options = deployments.Options(share_targets=True)
+    async with runs.run_deployment(reactor, topology, options) as run:
+        deployment, tree = run
+        # Membership is exchanged in full while nodes join.
+        await deployment.pages.sleep(_IDLE_S / 2)
+        before = await control.sample(deployment)
+        await deployment.pages.sleep(_IDLE_S)
+        idle = control.ControlRate.between(
+            before, await control.sample(deployment)
+        )
+        changes = [
+            await _measure_change(deployment, tree, number)
+            for number in range(_PUBLICATIONS)
+        ]
+    return _format(size, idle, changes)
+
+
+def _format(size: int, idle: control.ControlRate, changes: list[Change]) -> str:
+    times = [change.last_s for change in changes]
+    extra = [
+        (change.cost.node_bytes_s - idle.node_bytes_s) * change.seconds
+        for change in changes
+    ]
+    link_extra = [
+        (change.cost.link_bytes_s - idle.link_bytes_s) * change.seconds
+        for change in changes
+    ]
+    calls = [
+        (change.cost.store_calls_s - idle.store_calls_s) * change.seconds
+        for change in changes
+    ]
+    return figures.format_figures(
+        "convergence",
+        nodes=size,
+        publications=len(changes),
+        median_s=figures.find_percentile(times, 0.5),
+        p99_s=figures.find_percentile(times, 0.99),
+        worst_s=max(times),
+        idle_node_bytes_s=idle.node_bytes_s,
+        change_node_bytes=sum(extra) / len(extra),
+        idle_link_bytes_s=idle.link_bytes_s,
+        change_link_bytes=sum(link_extra) / len(link_extra),
+        idle_store_calls_s=idle.store_calls_s,
+        change_store_calls=sum(calls) / len(calls),
+        cpu_share=idle.cpu_share,
+        rss_mb=idle.rss_mb,
+    )
+
+
+async def _measure_change(
+    deployment: deployments.Deployment, tree: trees.Tree, number: int
+) -> Change:
+    before = await control.sample(deployment)
+    versions = await deployment.read_versions()
+    target = max(versions.values()) + 1
+    trees.change_queue(tree, "yards", 100 + number)
+    accepted = HeadWatch(deployment)
+    watching = accepted.start()
+    await publishing.publish_accepted(deployment, tree)
+    accepted_s = await watching
+    times = await pages.gather(
+        [_wait_node(deployment, spec, target) for spec in deployment.nodes]
+    )
+    await deployment.pages.sleep(_SETTLE_S)
+    after = await control.sample(deployment)
+    return Change(
+        max(times) - accepted_s,
+        control.ControlRate.between(before, after),
+        after.at_s - before.at_s,
+    )
+
+
+class HeadWatch:
+    """Learns from the store when a new head was written."""
+
+    def __init__(self, deployment: deployments.Deployment) -> None:
+        self._deployment = deployment
+        self._client = client.Client(deployment.reactor, connections=1)
+
+    def start(self) -> Any:
+        """Returns a Deferred of the time at which the head changes."""
+        return self._read().addCallback(self._wait)
+
+    def _read(self) -> Any:
+        return self._client.request(self._deployment.store, "GET", self._path)
+
+    def _wait(self, response: client.Response) -> Any:
+        revision = response.headers.get("revision", "0")
+        result = self._client.request(
+            self._deployment.store,
+            "GET",
+            f"{self._path}?after={revision}&wait=40",
+            timeout_s=45.0,
+        )
+        return result.addCallback(self._note)
+
+    def _note(self, response: client.Response) -> float:
+        self._client.close()
+        if response.status != 200:
+            raise exceptions.HarnessError("the head did not change")
+        return float(self._deployment.reactor.seconds())
+
+    @property
+    def _path(self) -> str:
+        cluster = self._deployment.topology.name
+        return f"/v1/keys/filbertlift/{cluster}/head"
+
+
+async def _wait_node(
+    deployment: deployments.Deployment,
+    spec: deployments.NodeSpec,
+    version: int,
+) -> float:
+    async def in_force() -> bool:
+        page = await deployment.pages.get(spec.status, "/version")
+        return bool(page["version"] >= version)
+
+    await deployment.pages.wait_until(
+        f"version {version} at {spec.name}", in_force, _LIMIT_S, _POLL_S
+    )
+    return float(deployment.reactor.seconds())
--- a/libs/harness/src/filbertlift_harness/demo.py
+++ b/libs/harness/src/filbertlift_harness/demo.py
@@ -13,6 +13,7 @@
 from filbertlift_harness import deployment as deployments
 from filbertlift_harness import oracle
 from filbertlift_harness import publishing
+from filbertlift_harness import runs
 from filbertlift_harness import topology as topologies
 from filbertlift_harness import traffic
 from filbertlift_harness import trees
@@ -140,29 +141,13 @@
     return float(deployment.reactor.seconds() - since_s)
 
 
-async def start_deployment(
-    deployment: deployments.Deployment, tree: trees.Tree
-) -> float:
-    """Starts everything and publishes the first version.
-
-    Returns:
-        Seconds from the start of the nodes until all were ready.
-    """
-    deployment.start_platform()
-    deployment.start_targets()
-    await deployment.wait_platform()
-    await publishing.publish_accepted(deployment, tree)
-    deployment.start_nodes()
-    return await deployment.wait_ready()
-
-
 async def run_topology(
     deployment: deployments.Deployment, say: Any = report
 ) -> DemoResult:
     """Runs the hand-over under load in one deployment."""
     topology = deployment.topology
     tree = trees.write_example(topology, deployment.folder / "tree")
-    ready_s = await start_deployment(deployment, tree)
+    ready_s = await runs.start_all(deployment, tree)
     versions = await deployment.read_versions()
     say(f"{topology.name}: {len(versions)} nodes ready in {ready_s:.1f} s")
     idle_before = await control.sample(deployment)
--- a/libs/harness/src/filbertlift_harness/deployment.py
+++ b/libs/harness/src/filbertlift_harness/deployment.py
@@ -244,12 +244,15 @@
         process.start(self.folder)
 
     def _make_flags(self, spec: NodeSpec) -> list[Any]:
-        near, far = self.topology.regions
+        near = self.topology.regions[0]
         is_near = spec.place.region == near
         store = self.store if is_near else self.store_forward
-        other = (
-            f"{far}={self.link_near}" if is_near else f"{near}={self.link_far}"
-        )
+        proxy = self.link_near if is_near else self.link_far
+        others = [
+            f"{region}={proxy}"
+            for region in self.topology.regions
+            if region != spec.place.region
+        ]
         return [
             *("--cluster", self.topology.name),
             *("--region", spec.place.region),
@@ -265,7 +268,7 @@
             *("--policy", self.options.policy),
             *("--drain-limit", f"{self.options.drain_limit_s:g}"),
             *("--start-jitter", "0"),
-            *("--region-proxy", other),
+            *("--region-proxy", ",".join(others)),
         ]
 
     def _list_peers(self, spec: NodeSpec) -> list[model.Address]:
--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/measure.py
@@ -0,0 +1,79 @@
+"""Measurements: one line of key=value pairs for each figure."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import pathlib
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+import typer
+
+from filbertlift_core import exceptions
+from filbertlift_harness import added
+from filbertlift_harness import convergence
+from filbertlift_harness import pressure
+
+Measurement = Callable[[Any], Awaitable[list[str]]]
+
+MEASUREMENTS: dict[str, Measurement] = {
+    "convergence": convergence.measure,
+    "added": added.measure,
+    "crest": pressure.measure_crest,
+    "blocking": pressure.measure_blocking,
+    "slow": pressure.measure_slow,
+}
+
+
+def find_folder() -> pathlib.Path:
+    """Returns the folder for raw lines."""
+    return pathlib.Path(__file__).resolve().parents[4] / "measurements"
+
+
+def save(name: str, lines: list[str]) -> None:
+    """Writes the raw lines of one measurement to a file of its own."""
+    folder = find_folder()
+    folder.mkdir(exist_ok=True)
+    now = datetime.datetime.now(datetime.UTC).strftime("%Y%m%dT%H%M%SZ")
+    path = folder / f"{name}-{now}.txt"
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+async def run_measurements(reactor: Any, names: list[str], keep: bool) -> None:
+    """Runs measurements one after the other and prints their lines."""
+    failed = False
+    for name in names:
+        try:
+            lines = await MEASUREMENTS[name](reactor)
+        except exceptions.FilbertliftError as error:
+            print(f"measure={name} failed: {error}", flush=True)
+            failed = True
+            continue
+        print("\n".join(lines), flush=True)
+        if keep:
+            save(name, lines)
+    if failed:
+        raise SystemExit(1)
+
+
+def main(
+    names: list[str] = typer.Argument(
+        None, help=f"Any of {', '.join(MEASUREMENTS)}; all if none."
+    ),
+    keep: bool = typer.Option(False, "--save", help="Write measurements/."),
+) -> None:
+    """Runs the measurements on loopback."""
+    chosen = names or list(MEASUREMENTS)
+    unknown = [name for name in chosen if name not in MEASUREMENTS]
+    if unknown:
+        raise typer.BadParameter(f"unknown measurement: {unknown[0]}")
+    task.react(
+        lambda reactor: defer.Deferred.fromCoroutine(
+            run_measurements(reactor, chosen, keep)
+        )
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/libs/harness/src/filbertlift_harness/pages.py
+++ b/libs/harness/src/filbertlift_harness/pages.py
@@ -91,4 +91,7 @@
     running: list[defer.Deferred[Any]] = [
         defer.Deferred.fromCoroutine(item) for item in awaitables
     ]
-    return await defer.gatherResults(running, consumeErrors=True)
+    try:
+        return await defer.gatherResults(running, consumeErrors=True)
+    except defer.FirstError as error:
+        raise error.subFailure.value from error
--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/pressure.py
@@ -0,0 +1,177 @@
+"""Measurements under pressure: a crest, long work, a slow target.
+
+Work takes long enough that slots, not the CPU of this machine, are the limit.
+Each runs with the policies `filbertlift` and `fifo` alternating.
+"""
+
+from typing import Any
+
+from filbertlift_harness import deployment as deployments
+from filbertlift_harness import figures
+from filbertlift_harness import runs
+from filbertlift_harness import topology as topologies
+from filbertlift_harness import traffic
+from filbertlift_standins import load
+
+_POLICIES = ("filbertlift", "fifo")
+_ROUNDS = 2
+_DRAIN_S = 30.0
+_CHECK = load.Operation.parse(
+    "check=GET /desk/checks;share=0.1;work_ms=20;deadline_ms=1000"
+)
+_COUNTER = load.Operation.parse(
+    "counter=GET /desk/slots;share=0.75;work_ms=100;deadline_ms=2000"
+)
+_LONG = load.Operation.parse(
+    "long=GET /desk/batches;share=0.15;work_ms=1000;deadline_ms=20000"
+)
+# Four targets with six slots; the mix takes 0.227 s a call on average, so
+# they can finish about 106 calls a second.
+_BASE_RATE = 25.0
+_PEAK_RATE = 250.0
+_RAMP_AT_S = 4.0
+_RAMP_S = 2.0
+_HOLD_S = 6.0
+_TAIL_S = 4.0
+
+
+def make_crest() -> list[load.RateStep]:
+    """Returns rates that rise ten times within 2 s, hold and fall again."""
+    parts = 10
+    rise = (_PEAK_RATE - _BASE_RATE) / parts
+    up = [
+        load.RateStep(
+            _RAMP_AT_S + _RAMP_S * part / parts, _BASE_RATE + rise * (part + 1)
+        )
+        for part in range(parts)
+    ]
+    fall_at_s = _RAMP_AT_S + _RAMP_S + _HOLD_S
+    down = [
+        load.RateStep(
+            fall_at_s + _RAMP_S * part / parts, _PEAK_RATE - rise * (part + 1)
+        )
+        for part in range(parts)
+    ]
+    return [load.RateStep(0.0, _BASE_RATE), *up, *down]
+
+
+async def measure_crest(reactor: Any) -> list[str]:
+    """Returns goodput at the peak and times by class."""
+    operations = (_CHECK, _COUNTER, _LONG)
+    duration_s = _RAMP_AT_S + 2 * _RAMP_S + _HOLD_S + _TAIL_S
+    peak = (_RAMP_AT_S, _RAMP_AT_S + _RAMP_S + _HOLD_S)
+    lines = []
+    for number, policy in enumerate(_POLICIES * _ROUNDS):
+        records = await _run(
+            reactor, policy, operations, make_crest(), duration_s, number // 2
+        )
+        during = figures.select(records, *peak)
+        done = [r for r in during if r.outcome == "done"]
+        lines.append(
+            figures.format_figures(
+                "crest",
+                policy=policy,
+                round=number // 2,
+                offered_s=len(during) / (peak[1] - peak[0]),
+                goodput_s=len(done) / (peak[1] - peak[0]),
+                shed=sum(r.outcome == "not-run" for r in during),
+                unknown=sum(r.outcome == "unknown" for r in during),
+            )
+        )
+        lines += figures.summarise_classes(
+            "crest", during, policy=policy, round=number // 2
+        )
+    return lines
+
+
+async def measure_blocking(reactor: Any) -> list[str]:
+    """Returns times of short calls while long work is offered."""
+    short = load.Operation.parse(
+        "counter=GET /desk/slots;work_ms=20;deadline_ms=5000"
+    )
+    long = load.Operation.parse(
+        "long=GET /desk/batches;work_ms=2000;deadline_ms=60000"
+    )
+    slots, short_rate = 24, 30.0
+    lines = []
+    for number, policy in enumerate(_POLICIES * _ROUNDS):
+        for share in (0.0, 0.5, 1.0):
+            long_rate = share * slots / 2.0
+            mixed = _weigh(short, short_rate) + _weigh(long, long_rate)
+            steps = [load.RateStep(0.0, short_rate + long_rate)]
+            records = await _run(
+                reactor, policy, mixed, steps, 14.0, number // 2
+            )
+            lines += figures.summarise_classes(
+                "blocking",
+                figures.select(records, 4.0, 14.0),
+                policy=policy,
+                round=number // 2,
+                long_share=share,
+            )
+    return lines
+
+
+async def measure_slow(reactor: Any) -> list[str]:
+    """Returns times before and while one of four targets is slowed."""
+    counter = load.Operation.parse(
+        "counter=GET /desk/slots;work_ms=30;deadline_ms=5000"
+    )
+    lines = []
+    for number, policy in enumerate(_POLICIES * _ROUNDS):
+        records = await _run(
+            reactor,
+            policy,
+            (counter,),
+            [load.RateStep(0.0, 100.0)],
+            20.0,
+            number // 2,
+            slow_at_s=8.0,
+        )
+        for part, from_s, to_s in (
+            ("before", 2.0, 8.0),
+            ("first_2_s", 8.0, 10.0),
+            ("later", 10.0, 20.0),
+        ):
+            lines += figures.summarise_classes(
+                "slow",
+                figures.select(records, from_s, to_s),
+                policy=policy,
+                round=number // 2,
+                part=part,
+            )
+    return lines
+
+
+def _weigh(
+    operation: load.Operation, rate: float
+) -> tuple[load.Operation, ...]:
+    if rate == 0:
+        return ()
+    return (topologies.with_share(operation, rate),)
+
+
+async def _run(
+    reactor: Any,
+    policy: str,
+    operations: tuple[load.Operation, ...],
+    steps: list[load.RateStep],
+    duration_s: float,
+    seed: int,
+    slow_at_s: float | None = None,
+) -> list[load.CallRecord]:
+    topology = topologies.make_desk(operations)
+    options = deployments.Options(policy=policy)
+    async with runs.run_deployment(reactor, topology, options) as run:
+        deployment, tree = run
+        await deployment.pages.sleep(2.0)
+        calls = traffic.start_traffic(deployment, tree, steps, duration_s, seed)
+        if slow_at_s is not None:
+            await deployment.pages.sleep(slow_at_s)
+            await deployment.pages.post(
+                deployment.nodes[0].target, "/-/faults", {"slowdown": 10.0}
+            )
+        await deployment.pages.sleep(
+            calls.started_at_s + duration_s + 1 - reactor.seconds()
+        )
+        return await calls.finish(_DRAIN_S)
--- a/libs/harness/src/filbertlift_harness/topology.py
+++ b/libs/harness/src/filbertlift_harness/topology.py
@@ -81,6 +81,55 @@
     return load.Operation.parse(text)
 
 
+def with_share(operation: load.Operation, share: float) -> load.Operation:
+    """Returns the operation with another weight."""
+    return attrs.evolve(operation, share=share)
+
+
+def make_fleet(nodes: int) -> Topology:
+    """Returns a fleet in two regions and four data centres, for control.
+
+    Args:
+        nodes: number of nodes, a multiple of twelve.
+    """
+    data_centres = ("a1", "a2", "b1", "b2") * (nodes // 12)
+    return Topology(
+        name=f"fleet-{nodes}",
+        places=_make_places({"a": ["a1", "a2"], "b": ["b1", "b2"]}),
+        services=tuple(
+            ServicePlan(name, data_centres, 16, 100)
+            for name in ("yards", "confirm", "papers")
+        ),
+        caller="fleet-caller",
+        operations=(),
+        move=RecordMove("papers", "/none", "yards"),
+    )
+
+
+def make_desk(
+    operations: tuple[load.Operation, ...], targets: int = 4, other: int = 0
+) -> Topology:
+    """Returns one service in one data centre, for calls.
+
+    Args:
+        operations: calls that the caller makes.
+        targets: targets of the service `desk`.
+        other: targets of the service `other`, which takes no calls but has
+            nodes that can be entered.
+    """
+    services = [ServicePlan("desk", ("a1",) * targets, 6, 130)]
+    if other:
+        services.append(ServicePlan("other", ("a1",) * other, 6, 130))
+    return Topology(
+        name="desk",
+        places=_make_places({"a": ["a1"]}),
+        services=tuple(services),
+        caller="desk-caller",
+        operations=operations,
+        move=RecordMove("desk", "/none", "desk"),
+    )
+
+
 _TUSSOCK_SITES = ("hamilton", "palmerston", "ashburton", "gore")
 TUSSOCK_ROAD = Topology(
     name="tussock-road",
--- a/libs/harness/src/filbertlift_harness/traffic.py
+++ b/libs/harness/src/filbertlift_harness/traffic.py
@@ -40,6 +40,14 @@
         return self.running.records
 
 
+def make_load(
+    deployment: deployments.Deployment, tree: trees.Tree
+) -> load.Load:
+    """Returns a load that sends with the token of the tree."""
+    sender = client.Client(deployment.reactor, connections=60)
+    return load.Load(deployment.reactor, sender, tree.token)
+
+
 def start_traffic(
     deployment: deployments.Deployment,
     tree: trees.Tree,
@@ -50,8 +58,7 @@
 ) -> Traffic:
     """Starts calls through every node, each with the same share."""
     rng = random.Random(seed)
-    sender = client.Client(deployment.reactor, connections=60)
-    running = load.Load(deployment.reactor, sender, tree.token)
+    running = make_load(deployment, tree)
     schedule = load.plan_calls(
         rng,
         f"t{next(_numbers)}",
