--- /dev/null
+++ b/libs/harness/src/filbertlift_harness/disturbances.py
@@ -0,0 +1,264 @@
+"""Carries out the steps of the soak test on a deployment."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import shutil
+from typing import Any
+
+from filbertlift_core import env
+from filbertlift_harness import deployment as deployments
+from filbertlift_harness import pages
+from filbertlift_harness import publishing
+from filbertlift_harness import steps
+from filbertlift_harness import traffic
+from filbertlift_harness import trees
+from filbertlift_standins import client
+from filbertlift_standins import load
+
+# A version must keep a witness: with more nodes down at a time all witnesses
+# of a new version could be lost together, which the design does not cover.
+_MAX_DOWN = 2
+_STOP_S = 40.0
+_ALLOWED_STATUSES = (env.EXIT_OK, env.EXIT_CONFLICT, env.EXIT_UNKNOWN)
+_DOWNLOAD = load.Operation(
+    "long",
+    "GET",
+    "/papers/manifests/1",
+    work_ms=3000.0,
+    answer_bytes=600_000,
+    deadline_ms=20_000,
+)
+
+Carry = Callable[[steps.Step], Awaitable[None]]
+
+
+class Disturber:
+    """Disturbs a deployment and remembers what has to be healed.
+
+    Attributes:
+        problems: broken guarantees that a step found itself.
+    """
+
+    def __init__(
+        self, deployment: deployments.Deployment, tree: trees.Tree
+    ) -> None:
+        self.problems: list[str] = []
+        self._deployment = deployment
+        self._tree = tree
+        self._killed: list[str] = []
+        self._paused: list[str] = []
+        self._numbers = itertools.count(1)
+        self._actions: dict[str, Carry] = {
+            "kill_node": self._kill_node,
+            "restart_killed": self._restart_killed,
+            "pause_node": self._pause_node,
+            "resume_paused": self._resume_paused,
+            "store_outage": self._store_outage,
+            "store_slow": self._store_slow,
+            "lose_answers": self._lose_answers,
+            "lapse_leases": self._lapse_leases,
+            "silence_watches": self._silence_watches,
+            "part_link": self._part_link,
+            "slow_link": self._slow_link,
+            "silence_link": self._silence_link,
+            "drain_target": self._drain_target,
+            "slow_target": self._slow_target,
+            "restart_target": self._restart_target,
+            "publish": self._publish,
+            "race": self._race,
+            "planned_stop": self._planned_stop,
+        }
+
+    async def carry_out(self, step: steps.Step) -> None:
+        """Carries out one step."""
+        await self._actions[step.name](step)
+
+    async def heal(self) -> None:
+        """Ends every fault and starts what does not run."""
+        await self._fault_store(
+            {"outage": "", "outage_s": 0, "delay_s": 0, "lost_next": 0}
+        )
+        await self._fault_link(
+            {"part": False, "rate_out_bps": 30e6, "rate_in_bps": 30e6}
+        )
+        for name in [*self._paused]:
+            self._deployment.resume(name)
+        self._paused.clear()
+        for name in [*self._killed]:
+            await self._deployment.restart(name)
+        self._killed.clear()
+        for spec in self._deployment.nodes:
+            await self._fault_target(spec, draining=False, slowdown=1.0)
+
+    def _find(self, step: steps.Step) -> deployments.NodeSpec:
+        return self._deployment.nodes[step.node]
+
+    def _is_up(self, name: str) -> bool:
+        return name not in self._killed and name not in self._paused
+
+    def _may_take_down(self, name: str) -> bool:
+        down = len(self._killed) + len(self._paused)
+        return down < _MAX_DOWN and self._is_up(name)
+
+    async def _fault_store(self, values: dict[str, Any]) -> None:
+        deployment = self._deployment
+        await deployment.pages.post(
+            deployment.store_control, "/-/faults", values
+        )
+
+    async def _fault_link(self, values: dict[str, Any]) -> None:
+        deployment = self._deployment
+        await deployment.pages.post(
+            deployment.link_control, "/-/faults", values
+        )
+
+    async def _fault_target(
+        self, spec: deployments.NodeSpec, **values: Any
+    ) -> None:
+        await self._deployment.pages.post(spec.target, "/-/faults", values)
+
+    async def _kill_node(self, step: steps.Step) -> None:
+        name = self._find(step).node_name
+        if self._may_take_down(name):
+            self._deployment.kill(name)
+            self._killed.append(name)
+
+    async def _restart_killed(self, _step: steps.Step) -> None:
+        if self._killed:
+            await self._deployment.restart(self._killed.pop(0))
+
+    async def _pause_node(self, step: steps.Step) -> None:
+        name = self._find(step).node_name
+        if self._may_take_down(name):
+            self._deployment.pause(name)
+            self._paused.append(name)
+
+    async def _resume_paused(self, _step: steps.Step) -> None:
+        if self._paused:
+            self._deployment.resume(self._paused.pop(0))
+
+    async def _store_outage(self, step: steps.Step) -> None:
+        await self._fault_store({"outage": step.word, "outage_s": step.seconds})
+
+    async def _store_slow(self, step: steps.Step) -> None:
+        await self._fault_store({"delay_s": step.seconds / 10})
+        await self._deployment.pages.sleep(step.seconds / 2)
+        await self._fault_store({"delay_s": 0.0})
+
+    async def _lose_answers(self, step: steps.Step) -> None:
+        await self._fault_store({"lost_next": 1 + step.node % 3})
+        await self._publish(step)
+
+    async def _lapse_leases(self, _step: steps.Step) -> None:
+        await self._fault_store({"lapse_leases": True})
+
+    async def _silence_watches(self, _step: steps.Step) -> None:
+        await self._fault_store({"silence_watches": True})
+
+    async def _part_link(self, step: steps.Step) -> None:
+        await self._fault_link({"part": True})
+        await self._deployment.pages.sleep(step.seconds)
+        await self._fault_link({"part": False})
+
+    async def _slow_link(self, step: steps.Step) -> None:
+        slow = {"rate_out_bps": 1e6, "rate_in_bps": 1e6}
+        await self._fault_link(slow)
+        await self._deployment.pages.sleep(step.seconds)
+        await self._fault_link({"rate_out_bps": 30e6, "rate_in_bps": 30e6})
+
+    async def _silence_link(self, step: steps.Step) -> None:
+        await self._fault_link({"silence": step.word})
+
+    async def _drain_target(self, step: steps.Step) -> None:
+        spec = self._find(step)
+        await self._fault_target(spec, draining=True)
+        await self._deployment.pages.sleep(step.seconds)
+        await self._fault_target(spec, draining=False)
+
+    async def _slow_target(self, step: steps.Step) -> None:
+        factor = 10.0 if step.seconds > 2 else 1.0
+        await self._fault_target(self._find(step), slowdown=factor)
+
+    async def _restart_target(self, step: steps.Step) -> None:
+        spec = self._find(step)
+        self._deployment.kill(spec.target_name)
+        process = self._deployment.processes[spec.target_name]
+        await process.wait_end(5.0)
+        await self._deployment.restart(spec.target_name)
+        await self._deployment.pages.wait_until(
+            f"answer of {spec.target_name}",
+            lambda: self._answers(spec),
+            10.0,
+        )
+        await self._fault_target(spec, cold_s=5.0)
+
+    async def _answers(self, spec: deployments.NodeSpec) -> bool:
+        status = await self._deployment.pages.get_status(
+            spec.target, "/-/health"
+        )
+        return status == 200
+
+    async def _publish(self, step: steps.Step) -> None:
+        service = self._find(step).service
+        number = next(self._numbers)
+        trees.change_queue(self._tree, service, 100 + number)
+        await self._publish_tree(self._tree)
+
+    async def _publish_tree(self, tree: trees.Tree) -> None:
+        publication = await publishing.publish(self._deployment, tree)
+        if publication.exit_status not in _ALLOWED_STATUSES:
+            self.problems.append(
+                f"publish ended with status {publication.exit_status}:"
+                f" {publication.output}"
+            )
+
+    async def _race(self, step: steps.Step) -> None:
+        """Two operators publish at once, on the same or another service."""
+        number = next(self._numbers)
+        services = [plan.name for plan in self._deployment.topology.services]
+        ours = self._find(step).service
+        theirs = services[int(step.seconds * 10) % len(services)]
+        folder = self._deployment.folder / f"rival-{number}"
+        shutil.copytree(self._tree.folder, folder)
+        rival = trees.Tree(folder, self._tree.token)
+        trees.change_queue(self._tree, ours, 300 + number)
+        trees.change_queue(rival, theirs, 600 + number)
+        await pages.gather(
+            [self._publish_tree(self._tree), self._publish_tree(rival)]
+        )
+
+    async def _planned_stop(self, step: steps.Step) -> None:
+        """Stops a node under a download, which must still arrive whole."""
+        await self.heal()
+        deployment = self._deployment
+        await deployment.wait_ready(60.0)
+        spec = self._find(step)
+        process = deployment.processes[spec.node_name]
+        running = traffic.make_load(deployment, self._tree)
+        number = next(self._numbers)
+        download = load.Planned(0.0, _DOWNLOAD, spec.listen, f"stop{number}-1")
+        result = running.start(iter([download]))
+        await deployment.pages.sleep(0.7)
+        process.send_signal(15)
+        status = await process.wait_end(_STOP_S)
+        records = await result
+        outcome = records[0].outcome
+        # A download that was shed had not begun when the node stopped.
+        if outcome not in ("done", "not-run") or status != env.EXIT_OK:
+            self.problems.append(
+                f"planned stop of {spec.name}: exit status {status},"
+                f" download {outcome} {records[0].code}"
+            )
+        await deployment.restart(spec.node_name)
+
+
+async def read_page(
+    deployment: deployments.Deployment, spec: deployments.NodeSpec
+) -> dict[str, Any] | None:
+    """Returns the version page of a node, or None without an answer."""
+    try:
+        page = await deployment.pages.get(spec.status, "/version")
+    except client.RequestError:
+        return None
+    return dict(page) if page else None
--- a/libs/harness/src/filbertlift_harness/pages.py
+++ b/libs/harness/src/filbertlift_harness/pages.py
@@ -94,4 +94,5 @@
     try:
         return await defer.gatherResults(running, consumeErrors=True)
     except defer.FirstError as error:
-        raise error.subFailure.value from error
+        error.subFailure.raiseException()
+        raise
