--- a/libs/calls/src/filbertlift_calls/keeper.py
+++ b/libs/calls/src/filbertlift_calls/keeper.py
@@ -313,6 +313,7 @@
         call.idempotent
         and entry.state is records.CallState.FINISHED
         and entry.answer is None
+        and entry.fingerprint == call.fingerprint
     )
 
 
--- /dev/null
+++ b/libs/calls/tests/test_at_most_once.py
@@ -0,0 +1,538 @@
+"""State machine over keeper, admission and outcomes against an oracle.
+
+Two entries call two hosts over links that delay, cross, duplicate and lose
+frames; every process restarts at any time.
+"""
+
+from collections.abc import Callable
+import functools
+from typing import Any
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from filbertlift_calls import admission
+from filbertlift_calls import codes
+from filbertlift_calls import keeper
+from filbertlift_calls import outcomes
+from filbertlift_calls import records
+from filbertlift_calls import tickets
+from filbertlift_core import model
+
+NOT_RUN = model.Outcome.NOT_RUN
+ANY = st.integers(0, 1_000)
+PAIR = st.integers(0, 1)
+
+
+@attrs.define(eq=False)
+class Request:
+    """One caller's request at its entry."""
+
+    call_id: str
+    client_attempt: int
+    fingerprint: int
+    work: model.WorkClass
+    idempotent: bool
+    keyed: bool
+    entry: int
+    deadline: float
+    attempt: int = 1
+    host: int = 0
+    incarnation: int = 0
+    sent_at: float = 0.0
+    may_have_run: bool = False
+    attempts_left: int = 1
+    told: outcomes.Answer | None = None
+
+
+@attrs.define(eq=False)
+class Work:
+    """One call that was sent to the target."""
+
+    call_id: str
+    attempt: int
+    fingerprint: int
+    idempotent: bool
+    ran: bool = False
+
+
+@attrs.define(eq=False)
+class Host:
+    """A node with its keeper and the target beside it."""
+
+    index: int
+    incarnation: int
+    keeper: keeper.Keeper
+    admission: admission.Admission
+    heads: dict[str, records.CallHead] = attrs.field(factory=dict)
+    askers: dict[str, list[tuple[Request, int]]] = attrs.field(factory=dict)
+    started: dict[str, tickets.Ticket] = attrs.field(factory=dict)
+    waiting: dict[str, tickets.Ticket] = attrs.field(factory=dict)
+    work: dict[str, Work] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Frame:
+    """A message on its way; it dies with the process it was sent to."""
+
+    sent_at: float
+    is_live: Callable[[], bool]
+    deliver: Callable[[], None]
+
+
+class Oracle:
+    """Counts runs at the targets and what was told about them."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, int] = {}
+        self.fingerprints: dict[str, set[int]] = {}
+        self.never: dict[str, float] = {}
+
+    def run(self, work: Work) -> None:
+        runs = self.runs[work.call_id] = self.runs.get(work.call_id, 0) + 1
+        self.fingerprints.setdefault(work.call_id, set()).add(work.fingerprint)
+        assert work.idempotent or runs == 1, "ran twice"
+        never = self.never.get(work.call_id, 0)
+        assert work.attempt > never, "ran after 'not run' was told"
+
+    def tell(self, request: Request, answer: outcomes.Answer) -> None:
+        ran = request.fingerprint in self.fingerprints.get(
+            request.call_id, set()
+        )
+        if answer.outcome is model.Outcome.DONE:
+            assert ran, "done, but it never ran"
+        if answer.outcome is not NOT_RUN:
+            return
+        assert not ran, "told 'not run', but it ran"
+        if not (request.keyed and answer.code == codes.KEY_REUSED):
+            last = request.client_attempt if request.keyed else 1e9
+            before = self.never.get(request.call_id, 0)
+            self.never[request.call_id] = max(before, last)
+
+
+class CallMachine(stateful.RuleBasedStateMachine):
+    """Entries, links, hosts and targets; see the module."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.serial = 0
+        self.oracle = Oracle()
+        self.frames: list[Frame] = []
+        self.requests: list[Request] = []
+        self.keyed: list[Request] = []
+        self.zombies: list[Work] = []
+        self.hosts = [self.make_host(0), self.make_host(1)]
+
+    def make_host(self, index: int) -> Host:
+        self.serial += 1
+        return Host(
+            index,
+            self.serial,
+            keeper.Keeper.create(self.serial),
+            admission.make_priority_admission(2, queue_limit=3),
+        )
+
+    def clock(self, host: Host) -> float:
+        """The clocks of the nodes are not synchronised."""
+        return self.now + 1_000.0 * host.index
+
+    # Entry.
+
+    def call_new(self, request: Request) -> None:
+        self.requests.append(request)
+        if request.keyed:
+            self.keyed.append(request)
+        self.send_call(request)
+
+    def send_call(self, request: Request) -> None:
+        host = self.hosts[request.host]
+        request.incarnation = host.incarnation
+        request.sent_at = self.now
+        named = host.incarnation
+        if request.keyed and request.client_attempt > 1:
+            named = records.NO_INCARNATION
+        head = records.CallHead(
+            request.call_id,
+            named,
+            request.attempt,
+            request.fingerprint,
+            request.idempotent,
+            request.deadline + 1_000.0 * host.index,
+        )
+        self.send_to_host(host, lambda: self.take_call(host, head, request))
+
+    def send_to_host(self, host: Host, deliver: Callable[[], None]) -> None:
+        self.frames.append(
+            Frame(self.now, lambda: self.hosts[host.index] is host, deliver)
+        )
+
+    def reply(
+        self, asker: tuple[Request, int], attempt: outcomes.Attempt
+    ) -> None:
+        request, number = asker
+
+        def deliver() -> None:
+            if request.attempt == number:
+                self.end_attempt(request, attempt)
+
+        self.frames.append(
+            Frame(self.now, lambda: request in self.requests, deliver)
+        )
+
+    def end_attempt(self, request: Request, attempt: outcomes.Attempt) -> None:
+        if request not in self.requests:
+            return
+        facts = outcomes.CallFacts(
+            request.idempotent,
+            request.keyed,
+            request.may_have_run,
+            request.attempts_left,
+            True,
+            request.deadline - self.now,
+        )
+        decision = outcomes.decide(attempt, facts)
+        if isinstance(decision, outcomes.Answer):
+            self.requests.remove(request)
+            request.told = decision
+            self.oracle.tell(request, decision)
+        elif isinstance(decision, outcomes.SettleFirst):
+            self.send_settle(request)
+        elif isinstance(decision, outcomes.RetryElsewhere):
+            request.may_have_run |= (
+                attempt.end is not outcomes.AttemptEnd.NOT_RUN
+            )
+            request.attempts_left -= 1
+            request.attempt += 1
+            request.host = 1 - request.host
+            self.send_call(request)
+
+    def send_settle(self, request: Request) -> None:
+        """Asks over a new link, which may reach a new process."""
+        host = self.hosts[request.host]
+        number = request.attempt
+
+        def deliver() -> None:
+            settlement = host.keeper.settle(
+                records.Inquiry(
+                    request.call_id,
+                    number,
+                    request.incarnation,
+                    self.now - request.sent_at,
+                ),
+                self.clock(host),
+            )
+            self.settled(host, (request, number), settlement)
+
+        self.send_to_host(host, deliver)
+
+    def settled(
+        self,
+        host: Host,
+        asker: tuple[Request, int],
+        settlement: records.Settlement,
+    ) -> None:
+        end = outcomes.AttemptEnd
+        if settlement.state is records.CallState.ABSENT:
+            self.reply(asker, outcomes.Attempt(end.NOT_RUN, codes.WITHDRAWN))
+        elif settlement.state is records.CallState.UNKNOWN:
+            self.reply(asker, outcomes.Attempt(end.KEEPER_LOST))
+        elif settlement.state is records.CallState.FINISHED:
+            self.reply_finished(asker, settlement.outcome, settlement.answer)
+        else:
+            host.askers[settlement.call_id].append(asker)
+
+    # Host.
+
+    def take_call(
+        self, host: Host, head: records.CallHead, request: Request
+    ) -> None:
+        asker = (request, head.attempt)
+        now = self.clock(host)
+        result = host.keeper.begin(head, now)
+        if isinstance(result, records.Refused):
+            is_known = result.outcome is NOT_RUN
+            end = outcomes.AttemptEnd
+            self.reply(
+                asker,
+                outcomes.Attempt(
+                    end.NOT_RUN if is_known else end.UNKNOWN, result.code
+                ),
+            )
+        elif isinstance(result, records.Repeat):
+            if result.state is records.CallState.FINISHED:
+                self.reply_finished(asker, result.outcome, result.answer)
+            else:
+                host.askers[head.call_id].append(asker)
+        else:
+            host.heads[head.call_id] = head
+            host.askers[head.call_id] = [asker]
+            ticket = tickets.Ticket(
+                head.call_id, "c", request.work, head.deadline
+            )
+            self.admit(host, host.admission.offer(ticket, now))
+
+    def reply_finished(
+        self,
+        asker: tuple[Request, int],
+        outcome: model.Outcome | None,
+        answer: records.KeptAnswer | None,
+    ) -> None:
+        end = outcomes.AttemptEnd
+        if answer is None:
+            self.reply(asker, outcomes.Attempt(end.UNKNOWN, codes.NOT_KEPT))
+        elif outcome is model.Outcome.UNKNOWN:
+            self.reply(asker, outcomes.Attempt(end.UNKNOWN, answer.code))
+        else:
+            expected = f"{asker[0].call_id}/{asker[0].fingerprint}".encode()
+            assert answer.body == expected, "the answer of another call"
+            self.reply(asker, outcomes.Attempt(end.ANSWERED))
+
+    def admit(self, host: Host, result: Any) -> None:
+        ticket = result.ticket
+        call_id = ticket.call_id
+        if isinstance(result, tickets.Queued):
+            host.waiting[call_id] = ticket
+            return
+        host.waiting.pop(call_id, None)
+        if isinstance(result, tickets.Start):
+            self.check_start(host, ticket)
+            host.keeper.start(call_id)
+            host.started[call_id] = ticket
+            head = host.heads[call_id]
+            host.work[call_id] = Work(
+                call_id, head.attempt, head.fingerprint, head.idempotent
+            )
+            return
+        self.drop(host, call_id, result.code)
+
+    def check_start(self, host: Host, ticket: tickets.Ticket) -> None:
+        running = [t.work_class for t in host.started.values()]
+        assert len(running) < host.admission.slots, "more than the slots"
+        assert ticket.deadline > self.clock(host), "started past its deadline"
+        assert host.admission.paused is None, "started while draining"
+        ahead = [t.work_class for t in host.waiting.values()]
+        assert min(ahead, default=9) >= ticket.work_class, "passed its betters"
+        if ticket.work_class is model.WorkClass.LONG:
+            count = running.count(model.WorkClass.LONG)
+            assert host.admission.slots == 1 or count + 1 < host.admission.slots
+
+    def drop(self, host: Host, call_id: str, code: str) -> None:
+        host.keeper.drop(call_id, code, self.clock(host))
+        for asker in host.askers.pop(call_id):
+            self.reply(
+                asker, outcomes.Attempt(outcomes.AttemptEnd.NOT_RUN, code)
+            )
+
+    def end_work(self, host: Host, work: Work, code: str) -> None:
+        """Ends a running call: done, lost, or certainly not run."""
+        call_id = work.call_id
+        now = self.clock(host)
+        del host.work[call_id]
+        if code == codes.TARGET_DOWN:
+            self.drop(host, call_id, code)
+        else:
+            is_done = code == codes.DONE
+            outcome = model.Outcome.DONE if is_done else model.Outcome.UNKNOWN
+            body = f"{call_id}/{work.fingerprint}".encode()
+            answer = records.KeptAnswer(outcome, code, 200, body=body)
+            host.keeper.finish(call_id, outcome, answer, now)
+            for asker in host.askers.pop(call_id):
+                self.reply_finished(asker, outcome, answer)
+        ticket = host.started.pop(call_id)
+        for result in host.admission.release(ticket, 0.05, now):
+            self.admit(host, result)
+
+    # Rules.
+
+    @stateful.rule(
+        entry=PAIR,
+        host=PAIR,
+        work=st.sampled_from(model.WorkClass),
+        idempotent=st.sampled_from([False, False, True]),
+        keyed=st.booleans(),
+        budget_s=st.sampled_from([1.0, 10.0, 60.0]),
+        sent=st.sampled_from([True, True, True, False]),
+    )
+    def start_call(
+        self,
+        entry: int,
+        host: int,
+        work: model.WorkClass,
+        idempotent: bool,
+        keyed: bool,
+        budget_s: float,
+        sent: bool,
+    ) -> None:
+        self.serial += 1
+        request = Request(
+            f"call-{self.serial}",
+            1,
+            self.serial,
+            work,
+            idempotent,
+            keyed,
+            entry,
+            self.now + budget_s,
+            host=host,
+        )
+        self.call_new(request)
+        if not sent:
+            self.frames.pop()
+            end = outcomes.AttemptEnd.LINK_LOST_UNSENT
+            self.end_attempt(request, outcomes.Attempt(end))
+
+    @stateful.precondition(lambda self: self.keyed)
+    @stateful.rule(pick=ANY, entry=PAIR, other=st.sampled_from([0, 0, 0, 1]))
+    def repeat_call(self, pick: int, entry: int, other: int) -> None:
+        """The caller repeats a keyed call, perhaps with another body."""
+        first = self.keyed[pick % len(self.keyed)]
+        attempt = 1 + max(
+            r.client_attempt for r in self.keyed if r.call_id == first.call_id
+        )
+        self.call_new(
+            attrs.evolve(
+                first,
+                client_attempt=attempt,
+                attempt=attempt,
+                fingerprint=first.fingerprint + 1_000_000 * other,
+                entry=entry,
+                deadline=self.now + 10.0,
+                may_have_run=True,
+                told=None,
+            )
+        )
+
+    @stateful.precondition(lambda self: self.frames)
+    @stateful.rule(pick=ANY, keep=st.sampled_from([False, False, False, True]))
+    def deliver(self, pick: int, keep: bool) -> None:
+        """Delivers any frame; one that is kept is delivered again later."""
+        place = pick % len(self.frames)
+        frame = self.frames[place]
+        if not keep:
+            del self.frames[place]
+        if frame.is_live() and self.now - frame.sent_at <= keeper.RETENTION_S:
+            frame.deliver()
+
+    @stateful.rule()
+    def deliver_oldest(self) -> None:
+        if self.frames:
+            self.deliver(0, False)
+
+    @stateful.precondition(lambda self: self.frames)
+    @stateful.rule(pick=ANY)
+    def lose_frame(self, pick: int) -> None:
+        del self.frames[pick % len(self.frames)]
+
+    @stateful.rule(entry=PAIR, host=PAIR)
+    def break_link(self, entry: int, host: int) -> None:
+        """A link falls silent; its frames may still arrive late."""
+        for request in list(self.requests):
+            if (request.entry, request.host) == (entry, host):
+                end = outcomes.AttemptEnd.LINK_LOST_SENT
+                self.end_attempt(request, outcomes.Attempt(end))
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(pick=ANY)
+    def withdraw(self, pick: int) -> None:
+        request = self.requests[pick % len(self.requests)]
+        host = self.hosts[request.host]
+        if host.incarnation != request.incarnation:
+            return
+        asker = (request, request.attempt)
+        self.send_to_host(
+            host, functools.partial(self.take_cancel, host, asker)
+        )
+
+    def take_cancel(self, host: Host, asker: tuple[Request, int]) -> None:
+        call_id = asker[0].call_id
+        result = host.keeper.withdraw(call_id, self.clock(host))
+        if not isinstance(result, records.Withdrawn):
+            return
+        if call_id in host.waiting:
+            assert host.admission.withdraw(call_id)
+            del host.waiting[call_id]
+            host.askers.pop(call_id)
+        end = outcomes.AttemptEnd.NOT_RUN
+        self.reply(asker, outcomes.Attempt(end, codes.WITHDRAWN))
+
+    @stateful.rule(host=PAIR, pick=ANY, action=st.integers(0, 5))
+    def step_target(self, host: int, pick: int, action: int) -> None:
+        node = self.hosts[host]
+        if not node.work:
+            return
+        work = list(node.work.values())[pick % len(node.work)]
+        if action <= 2 and not work.ran:
+            work.ran = True
+            self.oracle.run(work)
+        elif work.ran and action <= 4:
+            self.end_work(node, work, codes.DONE)
+        elif not work.ran and action == 3:
+            self.end_work(node, work, codes.TARGET_DOWN)
+        else:
+            self.zombies += [] if work.ran else [work]
+            self.end_work(node, work, codes.TARGET_LOST)
+
+    @stateful.precondition(lambda self: self.zombies)
+    @stateful.rule()
+    def run_zombie(self) -> None:
+        """A target runs a call although its connection was lost."""
+        self.oracle.run(self.zombies.pop())
+
+    @stateful.rule(host=PAIR)
+    def restart_host(self, host: int) -> None:
+        """The node restarts; its target may still run what it was sent."""
+        self.zombies += [w for w in self.hosts[host].work.values() if not w.ran]
+        self.hosts[host] = self.make_host(host)
+
+    @stateful.rule(host=PAIR)
+    def restart_target(self, host: int) -> None:
+        node = self.hosts[host]
+        for work in list(node.work.values()):
+            if work.call_id in node.work:
+                self.end_work(node, work, codes.TARGET_LOST)
+
+    @stateful.rule(entry=PAIR)
+    def restart_entry(self, entry: int) -> None:
+        self.requests = [r for r in self.requests if r.entry != entry]
+
+    @stateful.rule(host=PAIR, is_draining=st.booleans())
+    def drain(self, host: int, is_draining: bool) -> None:
+        node = self.hosts[host]
+        results: list[Any] = []
+        if is_draining:
+            node.admission.pause(codes.DRAINING)
+            results += node.admission.clear(codes.DRAINING)
+        else:
+            results += node.admission.resume(self.clock(node))
+        for result in results:
+            self.admit(node, result)
+
+    @stateful.rule(host=PAIR, slots=st.integers(1, 4))
+    def set_slots(self, host: int, slots: int) -> None:
+        node = self.hosts[host]
+        for result in node.admission.set_slots(slots, self.clock(node)):
+            self.admit(node, result)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 6.0, 35.0]))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for node in self.hosts:
+            for result in node.admission.poll(self.clock(node)):
+                self.admit(node, result)
+            node.keeper.expire(self.clock(node))
+        for request in list(self.requests):
+            if request.deadline <= self.now:
+                end = outcomes.AttemptEnd.DEADLINE_SENT
+                self.end_attempt(request, outcomes.Attempt(end))
+
+    @stateful.invariant()
+    def check_queues(self) -> None:
+        for node in self.hosts:
+            load = node.admission.get_load()
+            assert sum(load.running) == len(node.started)
+            assert sum(load.queued) == len(node.waiting)
+
+
+TestCalls = CallMachine.TestCase
