--- a/libs/membership/src/filbertlift_membership/gossip.py
+++ b/libs/membership/src/filbertlift_membership/gossip.py
@@ -4,8 +4,8 @@
 import itertools
 
 import attrs
-from filbertlift_core import model
 
+from filbertlift_core import model
 from filbertlift_membership import digests
 from filbertlift_membership import members as membership
 
