--- a/libs/harness/src/filbertlift_harness/deployment.py
+++ b/libs/harness/src/filbertlift_harness/deployment.py
@@ -73,7 +73,7 @@
         self.pages = pages.Pages(reactor)
         self.processes: dict[str, processes.Process] = {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="filbertlift-"))
-        picker = ports.PortPicker()
+        picker = self._picker = ports.PortPicker()
         self.store = picker.pick()
         self.store_control = picker.pick()
         self.store_forward = picker.pick()
@@ -225,6 +225,7 @@
         others = [p for p in running if p not in nodes]
         await pages.gather([process.stop() for process in nodes])
         await pages.gather([process.stop() for process in others])
+        self._picker.close()
 
     def kill_all(self) -> None:
         """Ends every process that still runs, at once."""
