Tell 'not run' only after a confirmed withdrawal

Cause: a call whose lost attempt was being settled, or a hedged read, could reach its deadline with no attempt counted as under way, and was told 'not run'. One asker's withdrawal silenced every other asker of a keyed call. Change: the flow knows that it settles; the deadline of a hedged read is unknown; a withdrawal removes one asker only.

--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -36,7 +36,7 @@
 LINK_BYTES_PER_S = 250_000.0
 # Headers of the caller that never reach the target.
 _PRIVATE = frozenset(
-    ("authorization", "host", "content-length", "transfer-encoding")
+    ("authorization", "host", "expect", "content-length", "transfer-encoding")
 )
 _PRIVATE_PREFIX = "filbertlift-"
 
--- a/libs/node/src/filbertlift_node/flow.py
+++ b/libs/node/src/filbertlift_node/flow.py
@@ -68,6 +68,7 @@
     _retried: bool = False
     _reroutes: int = 0
     _streaming: Try | None = None
+    _is_settling: bool = False
     _timer: Any = None
     _hedge_timer: Any = None
     _is_over: bool = False
@@ -111,12 +112,18 @@
 
     # Sending.
 
-    def _send_next(self) -> None:
+    def _send_next(self, last_code: str = codes.NO_TARGET) -> None:
+        """Sends the next attempt.
+
+        Args:
+            last_code: why the attempt before ended; told to the caller when
+                no other target is left.
+        """
         service = self._entry.find_views(self.route.service)
         now = self._entry.reactor.seconds()
         view = self._choose(service, now)
         if view is None:
-            self._finish_without(End.NOT_RUN, codes.NO_TARGET)
+            self._finish_without(End.NOT_RUN, last_code)
             return
         service.note_sent(view, self.route.work_class, now)
         current = Try(service, view, now)
@@ -334,6 +341,7 @@
         elif isinstance(decision, outcomes.RetryElsewhere):
             self._retry(decision, attempt)
         elif isinstance(decision, outcomes.SettleFirst):
+            self._is_settling = True
             settlements.settle(self._entry, self, current)
 
     def _describe(self) -> outcomes.CallFacts:
@@ -359,23 +367,26 @@
                 attempt.end not in (End.LINK_LOST_UNSENT, End.DEADLINE_UNSENT)
             )
         entry.metrics.retries.inc()
-        self._send_next()
+        self._send_next(decision.code)
 
     def take_settlement(self, current: Try, attempt: outcomes.Attempt) -> None:
         """Takes what a keeper said of an attempt whose link was lost."""
-        now = self._entry.reactor.seconds()
-        current.service.note_sent(current.view, self.route.work_class, now)
-        current.is_over = False
+        self._reopen(current)
         self._end(current, attempt)
 
     def take_settled_answer(
         self, current: Try, answer: messages.Answer
     ) -> None:
         """Takes the answer that a keeper had kept."""
-        current.is_over = False
+        self._reopen(current)
+        self._receive(current, answer)
+
+    def _reopen(self, current: Try) -> None:
+        """Counts a settled attempt as under way again until its end."""
+        self._is_settling = False
         now = self._entry.reactor.seconds()
         current.service.note_sent(current.view, self.route.work_class, now)
-        self._receive(current, answer)
+        current.is_over = False
 
     @property
     def is_over(self) -> bool:
@@ -438,28 +449,32 @@
     def _reach_deadline(self) -> None:
         if self._is_over or self.is_streaming:
             return
-        waiting = [item for item in self._tries if not item.is_over]
-        if not waiting or waiting[-1].attempt is None:
+        if self._is_settling:
+            self._finish_without(End.DEADLINE_SENT, codes.TIMEOUT)
+            return
+        sent = [
+            item for item in self._tries if not item.is_over and item.attempt
+        ]
+        if not sent:
             self._finish_without(End.DEADLINE_UNSENT, codes.EXPIRED)
             return
-        current = waiting[-1]
-        timer = self._entry.reactor.callLater(
-            CANCEL_GRACE_S, lambda: self._end_late(True)
+        # Only one withdrawal is waited for; the other attempt of a hedged
+        # read may have run.
+        self._may_have_run = self._may_have_run or len(sent) > 1
+        self._timer = self._entry.reactor.callLater(
+            CANCEL_GRACE_S, self._end_late, True
         )
-        self._timer = timer
+        attempt = sent[-1].attempt
+        assert attempt is not None
+        attempt.cancel(self._confirm_cancel)
 
-        def confirm(ran: bool) -> None:
-            if timer.active():
-                timer.cancel()
-            self._end_late(ran)
-
-        assert current.attempt is not None
-        current.attempt.cancel(confirm)
+    def _confirm_cancel(self, ran: bool) -> None:
+        self._stop_timers()
+        self._end_late(ran)
 
     def _end_late(self, ran: bool) -> None:
         if self._is_over:
             return
-        self._may_have_run = self._may_have_run or len(self._tries) > 1
         if ran:
             self._finish_without(End.DEADLINE_SENT, codes.TIMEOUT)
         else:
--- a/libs/node/src/filbertlift_node/inbound.py
+++ b/libs/node/src/filbertlift_node/inbound.py
@@ -49,7 +49,7 @@
     arrived_at: float
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
-    run: relays.Run | None = None
+    asker: relays.Asker | None = None
     unacknowledged: int = 0
     is_paused: bool = False
     is_withdrawn: bool = False
@@ -80,7 +80,7 @@
     def receive_chunk(self, link: links.Link, chunk: messages.Chunk) -> None:
         """Takes a further part of a call's body."""
         inbound = self._calls.get(link, {}).get(chunk.stream)
-        if inbound is None or inbound.run is not None:
+        if inbound is None or inbound.asker is not None:
             return
         inbound.parts.append(chunk.body)
         inbound.size += len(chunk.body)
@@ -101,11 +101,13 @@
         """
         for inbound in self._calls.pop(link, {}).values():
             inbound.is_withdrawn = True
-            if inbound.run is None:
+            if inbound.asker is None:
                 continue
-            inbound.run.resume()
-            if inbound.run.route.idempotent and not inbound.run.is_kept:
-                inbound.run.cancel(None)
+            inbound.asker.resume()
+            if inbound.asker.run.route.idempotent and (
+                not inbound.asker.run.is_kept
+            ):
+                inbound.asker.cancel(None)
 
     def _handle_call(self, link: links.Link, call: messages.Call) -> None:
         self._links.touch(link)
@@ -160,7 +162,7 @@
             lambda answer: self._send_answer(inbound, answer),
             lambda chunk: self._send_chunk(inbound, chunk),
         )
-        inbound.run = self._relay.accept(call, route, listener)
+        inbound.asker = self._relay.accept(call, route, listener)
 
     def _refuse(self, inbound: InboundCall, code: str) -> None:
         self._send_answer(
@@ -203,9 +205,9 @@
             body = body[size:]
         inbound.link.send(attrs.evolve(chunk, stream=stream, body=body))
         inbound.unacknowledged += len(chunk.body)
-        if inbound.unacknowledged > attempts.WINDOW_BYTES and inbound.run:
+        if inbound.unacknowledged > attempts.WINDOW_BYTES and inbound.asker:
             inbound.is_paused = True
-            inbound.run.pause()
+            inbound.asker.pause()
 
     def _forget(self, inbound: InboundCall) -> None:
         self._calls.get(inbound.link, {}).pop(inbound.call.stream, None)
@@ -219,8 +221,8 @@
             attempts.WINDOW_BYTES
         ):
             inbound.is_paused = False
-            if inbound.run is not None:
-                inbound.run.resume()
+            if inbound.asker is not None:
+                inbound.asker.resume()
 
     def _handle_cancel(self, link: links.Link, cancel: messages.Cancel) -> None:
         inbound = self._calls.get(link, {}).get(cancel.stream)
@@ -232,8 +234,8 @@
         # One that waits for its body or for a version will not run any more.
         inbound.is_withdrawn = True
         ran = False
-        if inbound.run is not None:
-            ran = self._relay.withdraw(inbound.run)
+        if inbound.asker is not None:
+            ran = self._relay.withdraw(inbound.asker)
         link.send(messages.Cancelled(cancel.stream, cancel.call_id, ran))
 
     def _handle_settle(
--- a/libs/node/src/filbertlift_node/relay.py
+++ b/libs/node/src/filbertlift_node/relay.py
@@ -59,12 +59,6 @@
         if self.client_call is not None:
             self.client_call.resume()
 
-    def cancel(self, on_done: Callable[[bool], None] | None) -> None:
-        """Withdraws the call if it has not started."""
-        ran = self._relay.withdraw(self)
-        if on_done is not None:
-            on_done(ran)
-
     # Events of the target's answer.
 
     def receive_head(
@@ -115,6 +109,31 @@
         self.listeners[0].on_chunk(chunk)
 
 
+@attrs.frozen(eq=False)
+class Asker:
+    """One of those that wait for the answer of a run."""
+
+    _relay: "Relay"
+    run: Run
+    listener: attempts.Listener
+
+    def pause(self) -> None:
+        """Stops the stream of the answer, which goes to the first asker."""
+        if self.run.listeners[0] is self.listener:
+            self.run.pause()
+
+    def resume(self) -> None:
+        """Continues the stream of the answer."""
+        if self.run.listeners[0] is self.listener:
+            self.run.resume()
+
+    def cancel(self, on_done: Callable[[bool], None] | None) -> None:
+        """Withdraws the call if it has not started."""
+        ran = self._relay.withdraw(self)
+        if on_done is not None:
+            on_done(ran)
+
+
 @attrs.define(eq=False)
 class Relay:
     """Queue, slots and call ids beside one target.
@@ -184,11 +203,12 @@
         call: messages.Call,
         route: routes.Route,
         listener: attempts.Listener,
-    ) -> Run | None:
+    ) -> Asker | None:
         """Takes a call that was routed here; refusals go to the listener.
 
         Returns:
-            The run, or None when the listener has heard the whole answer.
+            The place of the listener among those that wait, or None when it
+            has heard the whole answer.
         """
         if self.refusal is not None:
             self._refuse(call, listener, self.refusal)
@@ -201,8 +221,10 @@
         is_kept = call.keyed or not route.idempotent
         if is_kept:
             known = self._begin(call, call_id, route, deadline, listener, now)
+            if isinstance(known, Run):
+                return Asker(self, known, listener)
             if known is not None:
-                return known if isinstance(known, Run) else None
+                return None
         elif call_id in self._runs:
             # A hedge that came back to the same keeper.
             self._refuse(call, listener, codes.WITHDRAWN)
@@ -217,42 +239,54 @@
             self._start(run, now)
         elif isinstance(result, tickets.Shed):
             self._drop(run, result.code, result.retry_after_s)
-        return None if run.is_over else run
+        return None if run.is_over else Asker(self, run, listener)
 
     def settle(self, inquiry: records.Inquiry) -> records.Settlement:
         """Says what became of a call whose link was lost."""
         return self.keeper.settle(inquiry, self._reactor.seconds())
 
-    def withdraw(self, run: Run) -> bool:
-        """Takes back a call; returns whether it may have run."""
+    def withdraw(self, asker: Asker) -> bool:
+        """Takes back one asker's call; returns whether it may have run."""
+        run = asker.run
         if run.is_over:
             return True
         if run.is_started:
-            # The work of an idempotent call is of no use any more; any other
-            # runs on, so that its outcome can be told.
-            if run.route.idempotent and run.client_call is not None:
-                run.client_call.cancel()
-                self._release(run, NO_SERVICE_S)
-                if run.is_kept:
-                    self.keeper.finish(
-                        run.ticket.call_id,
-                        model.Outcome.UNKNOWN,
-                        None,
-                        self._reactor.seconds(),
-                    )
-            else:
-                run.listeners[:] = [attempts.DEAF]
-                run.resume()
+            self._abandon(run, asker.listener)
             return True
-        now = self._reactor.seconds()
         if run.is_kept:
-            result = self.keeper.withdraw(run.ticket.call_id, now)
+            result = self.keeper.withdraw(
+                run.ticket.call_id, self._reactor.seconds()
+            )
             if not isinstance(result, records.Withdrawn):
+                # Another asker still waits for it.
+                run.listeners.remove(asker.listener)
                 return True
         self.admission.withdraw(run.ticket.call_id)
         self._end(run)
         return False
 
+    def _abandon(self, run: Run, listener: attempts.Listener) -> None:
+        """Lets an asker go from a call that has started.
+
+        The work of an idempotent call that nobody waits for is stopped; any
+        other runs on, so that its outcome can be told.
+        """
+        run.listeners[run.listeners.index(listener)] = attempts.DEAF
+        run.resume()
+        if any(item is not attempts.DEAF for item in run.listeners):
+            return
+        if not run.route.idempotent or run.client_call is None:
+            return
+        run.client_call.cancel()
+        if run.is_kept:
+            self.keeper.finish(
+                run.ticket.call_id,
+                model.Outcome.UNKNOWN,
+                None,
+                self._reactor.seconds(),
+            )
+        self._release(run, NO_SERVICE_S)
+
     def answer(self, run: Run, body: bytes, more: bool) -> None:
         """Sends the target's answer to everyone who waits for it."""
         answer = self._make_answer(
