--- a/libs/membership/src/filbertlift_membership/probes.py
+++ b/libs/membership/src/filbertlift_membership/probes.py
@@ -4,8 +4,8 @@
 import random
 
 import attrs
-from filbertlift_core import model
 
+from filbertlift_core import model
 from filbertlift_membership import members as membership
 from filbertlift_membership import rounds
 
--- a/libs/membership/src/filbertlift_membership/rounds.py
+++ b/libs/membership/src/filbertlift_membership/rounds.py
@@ -4,8 +4,8 @@
 import random
 
 import attrs
-from filbertlift_core import model
 
+from filbertlift_core import model
 from filbertlift_membership import members as membership
 
 # A data centre that is lost as a whole has nobody left to probe it from
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -6,13 +6,14 @@
 import random
 
 import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+
 from filbertlift_core import model
 from filbertlift_membership import gossip
 from filbertlift_membership import members
 from filbertlift_membership import probes
 from filbertlift_membership import ranking
-from hypothesis import stateful
-from hypothesis import strategies as st
 
 STEP_S = 0.1
 SILENT_S = 3.0
