Take convergence times from the store's write and the nodes' logs

Cause: polls started after the harness had noticed the new head, so a busy harness reported 0.04 s, less than the two link delays that a change needs. Change: the store stand-in gives the time of each write, and a node's time is that of its log line; the nodes are polled five times a second only. Conclusion: the time no longer depends on the load of the harness.

--- a/libs/harness/src/filbertlift_harness/convergence.py
+++ b/libs/harness/src/filbertlift_harness/convergence.py
@@ -3,13 +3,11 @@
 from typing import Any
 
 import attrs
-from twisted.internet import defer
 
 from filbertlift_harness import control
 from filbertlift_harness import deployment as deployments
 from filbertlift_harness import figures
 from filbertlift_harness import heads
-from filbertlift_harness import pages
 from filbertlift_harness import publishing
 from filbertlift_harness import runs
 from filbertlift_harness import topology as topologies
@@ -19,9 +17,6 @@
 _PUBLICATIONS = 10
 _IDLE_S = 10.0
 _SETTLE_S = 2.0
-_LIMIT_S = 30.0
-# Pages cost the nodes CPU; only nodes that lack the version are polled.
-_POLL_S = 0.025
 
 
 @attrs.frozen
@@ -30,7 +25,7 @@
 
     Attributes:
         last_s: seconds from the write of the head to in force at the last
-            node, as seen by polls 25 ms apart.
+            node.
         cost: control cost from before the publication to 2 s after it was
             in force everywhere.
         seconds: length of that interval.
@@ -104,36 +99,12 @@
     versions = await deployment.read_versions()
     target = max(versions.values()) + 1
     trees.change_queue(tree, "yards", 100 + number)
-    accepted = heads.HeadWatch(deployment)
-    watching = accepted.start()
-    publishing_ends = defer.Deferred.fromCoroutine(
-        publishing.publish_accepted(deployment, tree)
-    )
-    # Polling starts with the new head, so as not to load the nodes before.
-    accepted_s = await watching
-    times = await pages.gather(
-        [_wait_node(deployment, spec, target) for spec in deployment.nodes]
-    )
-    await publishing_ends
+    await publishing.publish_accepted(deployment, tree)
+    spread = await heads.measure_spread(deployment, target)
     await deployment.pages.sleep(_SETTLE_S)
     after = await control.sample(deployment)
     return Change(
-        max(times) - accepted_s,
+        spread.last_s,
         control.ControlRate.between(before, after),
         after.at_s - before.at_s,
     )
-
-
-async def _wait_node(
-    deployment: deployments.Deployment,
-    spec: deployments.NodeSpec,
-    version: int,
-) -> float:
-    async def in_force() -> bool:
-        page = await deployment.pages.get(spec.status, "/version")
-        return bool(page["version"] >= version)
-
-    await deployment.pages.wait_until(
-        f"version {version} at {spec.name}", in_force, _LIMIT_S, _POLL_S
-    )
-    return float(deployment.reactor.seconds())
--- a/libs/harness/src/filbertlift_harness/demo.py
+++ b/libs/harness/src/filbertlift_harness/demo.py
@@ -127,21 +127,6 @@
     return len(late), tuple(strays)
 
 
-async def wait_in_force(
-    deployment: deployments.Deployment, version: int
-) -> float:
-    """Waits until every node has the version; returns the time."""
-
-    async def in_force() -> bool:
-        versions = await deployment.read_versions()
-        return min(versions.values()) >= version
-
-    await deployment.pages.wait_until(
-        f"version {version} at every node", in_force, 60.0, pause_s=0.02
-    )
-    return float(deployment.reactor.seconds())
-
-
 async def run_topology(
     deployment: deployments.Deployment, say: Any = report
 ) -> DemoResult:
@@ -159,15 +144,12 @@
     calls = traffic.start_traffic(deployment, tree, steps, math.inf, seed=1)
     await deployment.pages.sleep(_BEFORE_S)
     trees.hand_over(topology, tree)
-    watching = heads.HeadWatch(deployment).start()
-    publishing_ends = defer.Deferred.fromCoroutine(
-        publishing.publish_accepted(deployment, tree)
-    )
-    accepted_s = await watching
+    await publishing.publish_accepted(deployment, tree)
     version = max(versions.values()) + 1
-    force_s = await wait_in_force(deployment, version) - accepted_s
-    await publishing_ends
-    since_s = deployment.reactor.seconds() - calls.started_at_s
+    spread = await heads.measure_spread(deployment, version)
+    force_s = spread.last_s
+    # The reactor's clock is the wall clock, as are the times of the spread.
+    since_s = max(spread.in_force_at) - calls.started_at_s
     say(f"{topology.name}: hand-over in force everywhere in {force_s:.2f} s")
     await deployment.pages.sleep(_AFTER_S)
     rate = control.ControlRate.between(before, await control.sample(deployment))
--- a/libs/harness/src/filbertlift_harness/heads.py
+++ b/libs/harness/src/filbertlift_harness/heads.py
@@ -1,43 +1,98 @@
-"""Time at which the store took a new head."""
+"""When a version was accepted and when it came in force at each node.
 
-from typing import Any
+Both are wall-clock times of processes on one machine: of the store's write
+and of the node's log line. Polling the nodes for them would load the nodes
+and blur the times.
+"""
+
+from collections.abc import Iterable
+import datetime
+
+import attrs
 
 from filbertlift_harness import deployment as deployments
 from filbertlift_harness import exceptions
-from filbertlift_standins import client
 
+_EVENT = "version.in_force"
 
-class HeadWatch:
-    """Learns from the store when a new head was written."""
 
-    def __init__(self, deployment: deployments.Deployment) -> None:
-        self._deployment = deployment
-        self._client = client.Client(deployment.reactor, connections=1)
+@attrs.frozen
+class Spread:
+    """Times of one version, in seconds since the epoch.
 
-    def start(self) -> Any:
-        """Returns a Deferred of the time at which the head changes."""
-        return self._read().addCallback(self._wait)
+    Attributes:
+        accepted_at: when the store took it.
+        in_force_at: when each node put it in force.
+    """
 
-    def _read(self) -> Any:
-        return self._client.request(self._deployment.store, "GET", self._path)
+    accepted_at: float
+    in_force_at: tuple[float, ...]
 
-    def _wait(self, response: client.Response) -> Any:
-        revision = response.headers.get("revision", "0")
-        result = self._client.request(
-            self._deployment.store,
-            "GET",
-            f"{self._path}?after={revision}&wait=40",
-            timeout_s=45.0,
-        )
-        return result.addCallback(self._note)
+    @property
+    def last_s(self) -> float:
+        """Seconds from accepted to in force at the last node."""
+        return max(self.in_force_at) - self.accepted_at
 
-    def _note(self, response: client.Response) -> float:
-        self._client.close()
-        if response.status != 200:
-            raise exceptions.HarnessError("the head did not change")
-        return float(self._deployment.reactor.seconds())
 
-    @property
-    def _path(self) -> str:
-        cluster = self._deployment.topology.name
-        return f"/v1/keys/filbertlift/{cluster}/head"
+def find_in_force(lines: Iterable[str], version: int) -> float | None:
+    """Returns when a log first says that a version, or a newer, is in force.
+
+    Args:
+        lines: log of a node.
+        version: the version.
+
+    Returns:
+        Seconds since the epoch; None when the log does not say so.
+    """
+    for line in lines:
+        pairs = dict(word.split("=", 1) for word in line.split() if "=" in word)
+        if pairs.get("event") != _EVENT:
+            continue
+        if int(pairs.get("version", "0")) >= version:
+            moment = datetime.datetime.fromisoformat(pairs["time"])
+            return moment.timestamp()
+    return None
+
+
+async def read_accepted(deployment: deployments.Deployment) -> float:
+    """Returns when the store took the current head, as one call.
+
+    Raises:
+        HarnessError: if there is no head.
+    """
+    cluster = deployment.topology.name
+    headers = await deployment.pages.get_headers(
+        deployment.store, f"/v1/keys/filbertlift/{cluster}/head"
+    )
+    if "written-at" not in headers:
+        raise exceptions.HarnessError(f"the store has no head of {cluster}")
+    return float(headers["written-at"])
+
+
+async def measure_spread(
+    deployment: deployments.Deployment, version: int, limit_s: float = 60.0
+) -> Spread:
+    """Waits until a version is in force at every node; returns the times.
+
+    Raises:
+        HarnessError: if a node has not the version within `limit_s`.
+    """
+
+    async def in_force() -> bool:
+        versions = await deployment.read_versions()
+        return min(versions.values()) >= version
+
+    await deployment.pages.wait_until(
+        f"version {version} at every node", in_force, limit_s, pause_s=0.2
+    )
+    accepted = await read_accepted(deployment)
+    times = []
+    for spec in deployment.nodes:
+        path = deployment.folder / f"{spec.node_name}.log"
+        with open(path, encoding="utf-8", errors="replace") as log:
+            moment = find_in_force(log, version)
+        if moment is None:
+            message = f"{spec.name} logged no version {version}"
+            raise exceptions.HarnessError(message)
+        times.append(moment)
+    return Spread(accepted, tuple(times))
--- a/libs/harness/src/filbertlift_harness/pages.py
+++ b/libs/harness/src/filbertlift_harness/pages.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -42,6 +43,19 @@
             return 0
         return response.status
 
+    async def get_headers(
+        self, address: model.Address, path: str
+    ) -> Mapping[str, str]:
+        """Returns the headers of an answer, in lower case.
+
+        Raises:
+            RequestError: if there was no answer within 3 s.
+        """
+        response = await self._client.request(
+            address, "GET", path, timeout_s=3.0
+        )
+        return response.headers
+
     async def post(self, address: model.Address, path: str, value: Any) -> Any:
         """Posts JSON and returns the JSON answer.
 
--- /dev/null
+++ b/libs/harness/tests/test_heads.py
@@ -0,0 +1,17 @@
+"""Tests of reading when a version came in force."""
+
+from filbertlift_harness import heads
+
+LOG = (
+    "not an event",
+    "time=1970-01-01T00:00:01.250+00:00 event=version.in_force version=1",
+    'time=1970-01-01T00:00:02.000+00:00 event=link.up peer="a=b c" version=9',
+    "time=1970-01-01T00:00:03.500+00:00 event=version.in_force version=3",
+)
+
+
+def test_first_line_of_the_version_or_a_newer_one_counts() -> None:
+    """Guards against a convergence time taken from another event."""
+    assert heads.find_in_force(LOG, 1) == 1.25
+    assert heads.find_in_force(LOG, 2) == 3.5
+    assert heads.find_in_force(LOG, 4) is None
--- a/libs/standins/src/filbertlift_standins/store.py
+++ b/libs/standins/src/filbertlift_standins/store.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 import random
+import time
 from typing import Any
 
 import attrs
@@ -46,11 +47,12 @@
 
 @attrs.frozen
 class Entry:
-    """A value and the revision that wrote it."""
+    """A value and the revision that wrote it, at seconds since the epoch."""
 
     value: bytes
     revision: int
     lease: str
+    written_at: float
 
 
 @attrs.define
@@ -193,7 +195,10 @@
         if entry is None:
             exchange.respond(404)
             return
-        headers = {"Revision": str(entry.revision)}
+        headers = {
+            "Revision": str(entry.revision),
+            "Written-At": f"{entry.written_at:.4f}",
+        }
         exchange.respond(200, entry.value, headers)
 
     def _put(self, exchange: web.Exchange, key: str, expected: int) -> None:
@@ -209,7 +214,9 @@
         if not self._agrees(exchange, key, expected):
             return
         self._revision += 1
-        self._entries[key] = Entry(request.body, self._revision, lease)
+        self._entries[key] = Entry(
+            request.body, self._revision, lease, time.time()
+        )
         self._answer_write(exchange)
         self._notify(key)
 
