Require a witness that a restarted node asks again

The design put a version in force after a read of the store without any peer knowing it, and counted any node as a witness. A gateway that restarted while the store was out, or a node whose witness had chosen it and not the other way round, could go back. Only neighbours that the node itself chose count now; a notice, heartbeat or update from one of them counts as its acknowledgement, so that no report is sent in that case. A floor is settled without the store only when all listed neighbours have responded.

--- a/libs/distribution/src/filbertlift_distribution/replica.py
+++ b/libs/distribution/src/filbertlift_distribution/replica.py
@@ -10,20 +10,19 @@
 from filbertlift_distribution import freshness
 from filbertlift_distribution import spread
 from filbertlift_distribution import versions
+from filbertlift_distribution import witnesses
 
-REPORT_S = 0.5
-READ_HEAD_S = 1.0
+# A starting node asks its peers first, and reads the store when they have not
+# settled its floor within this time.
+FIRST_READ_S = 1.0
+READ_S = 5.0
+# A starting node answers others after it learned the versions of its own
+# neighbours, or after this time, so that a mass restart does not wait forever.
+ANSWER_S = 3.0
 
 Address = model.Address
 Versioned = versions.Versioned
-
-
-@attrs.frozen
-class SendReport:
-    """Ask a chosen neighbour to remember the version of this host."""
-
-    to: Address
-    version: int
+SendReport = witnesses.SendReport
 
 
 @attrs.frozen
@@ -44,7 +43,7 @@
 
 @attrs.frozen
 class ReadHead:
-    """Read the head at the store, then call `receive_head`."""
+    """Read the store, then call `receive_snapshot` or `receive_head`."""
 
 
 @attrs.frozen
@@ -59,7 +58,7 @@
     | spread.SendFetch
     | spread.SendUpdate
     | floors.SendAskFloor
-    | SendReport
+    | witnesses.SendReport
     | SendReported
     | SendFloor
     | ReadHead
@@ -87,15 +86,14 @@
     gather: floors.FloorGather
     _spreader: spread.Spreader
     _rng: random.Random
-    _neighbours: frozenset[Address] = frozenset()
+    _started_at: float
+    _read_at: float
+    _witnesses: witnesses.Witnesses = attrs.field(factory=witnesses.Witnesses)
     _links: set[Address] = attrs.field(factory=set)
-    _witnessed: int = 0
-    _reported_at: dict[Address, float] = attrs.field(factory=dict)
 
     @classmethod
     def create(cls, rng: random.Random, now: float) -> "Replica":
         """Returns the state of a node that has just started."""
-        del now
         state = versions.VersionState()
         return cls(
             state=state,
@@ -103,6 +101,8 @@
             floor_table=floors.FloorTable(),
             gather=floors.FloorGather(),
             spreader=spread.Spreader.create(state),
+            started_at=now,
+            read_at=now + rng.uniform(0.8, 1.2) * FIRST_READ_S,
             rng=rng,
         )
 
@@ -112,23 +112,36 @@
         return self.state.is_settled and self.state.in_force is not None
 
     def set_neighbours(
-        self, neighbours: Iterable[Address], now: float
+        self,
+        neighbours: Iterable[Address],
+        now: float,
+        *,
+        is_complete: bool = True,
     ) -> list[Action]:
-        """States the neighbours that this node chose and that are not DEAD."""
-        self._neighbours = frozenset(neighbours)
-        self.gather.set_neighbours(self._neighbours)
+        """States the neighbours that this node chose and that are not DEAD.
+
+        Args:
+            neighbours: nodes chosen by rank.
+            now: seconds on the clock of this node.
+            is_complete: whether they were chosen from all members.
+        """
+        chosen = frozenset(neighbours)
+        self._witnesses.set_chosen(chosen)
+        self.gather.set_neighbours(chosen, is_complete=is_complete)
         return self.tick(now)
 
     def open_link(self, peer: Address, now: float) -> list[Action]:
         """States that messages can be exchanged with a node."""
         self._links.add(peer)
         self._spreader.open_link(peer)
+        self._witnesses.open_link(peer)
         return self.tick(now)
 
     def close_link(self, peer: Address, now: float) -> list[Action]:
         """States that a link is lost."""
         self._links.discard(peer)
         self._spreader.close_link(peer)
+        self._witnesses.close_link(peer)
         return self.tick(now)
 
     def receive_heartbeat(
@@ -137,10 +150,20 @@
         version: int,
         age: float,
         now: float,
-        transit: float = freshness.HOP_ALLOWANCE_S,
+        transit: float | None = freshness.HOP_ALLOWANCE_S,
     ) -> list[Action]:
-        """Takes the version in force of a node and its age in seconds."""
-        self.tracker.confirm(version, age, now, transit)
+        """Takes the version in force of a node and its age in seconds.
+
+        Args:
+            sender: node at the other end of the link.
+            version: version in force there, 0 for none.
+            age: seconds since the store confirmed it.
+            now: seconds on the clock of this node.
+            transit: result of `freshness.LinkDelay.receive`; None leaves the
+                freshness as it is.
+        """
+        if transit is not None:
+            self.tracker.confirm(version, age, now, transit)
         return self.receive_notice(sender, version, "", age, now)
 
     def receive_notice(
@@ -150,7 +173,8 @@
         del age
         self.floor_table.report(sender, version)
         self._spreader.receive_notice(sender, version, root)
-        return self._witness(sender, version) + self.tick(now)
+        self._witnesses.note(sender, version)
+        return self.tick(now)
 
     def receive_fetch(
         self, sender: Address, base_version: int, now: float
@@ -169,10 +193,9 @@
         """
         self._spreader.receive_update(sender, snapshot.version)
         self.floor_table.report(sender, snapshot.version)
-        actions = self._offer(snapshot)
-        return (
-            actions + self._witness(sender, snapshot.version) + self.tick(now)
-        )
+        self.state.offer(snapshot)
+        self._witnesses.note(sender, snapshot.version)
+        return self.tick(now)
 
     def fail_update(self, sender: Address, now: float) -> list[Action]:
         """States that the update of a node could not be applied."""
@@ -189,8 +212,8 @@
         """
         self.tracker.confirm(snapshot.version, age, now, 0.0)
         self.gather.receive_head(snapshot.version)
-        actions = self._offer(snapshot)
-        return actions + self.tick(now)
+        self.state.offer(snapshot)
+        return self.tick(now)
 
     def receive_head(
         self, version: int, age: float, now: float
@@ -213,12 +236,19 @@
         self, sender: Address, version: int, now: float
     ) -> list[Action]:
         """Takes the acknowledgement of a report."""
-        return self._witness(sender, version) + self.tick(now)
+        self._witnesses.note(sender, version)
+        return self.tick(now)
 
     def receive_ask_floor(self, sender: Address, now: float) -> list[Action]:
-        """Answers a starting node."""
-        del now
-        floor = max(self.floor_table.floor_of(sender), self.state.newest_seen)
+        """Answers a starting node, which asks again without an answer."""
+        if not self.state.is_settled and now - self._started_at < ANSWER_S:
+            return []
+        # Whoever heard of a held version counts this node as its witness.
+        floor = max(
+            self.floor_table.floor_of(sender),
+            self.state.held_version,
+            self.state.floor,
+        )
         return [SendFloor(sender, floor)]
 
     def receive_floor(
@@ -232,51 +262,37 @@
         """Returns what is due."""
         actions: list[Action] = []
         if not self.state.is_settled:
-            actions += self._settle(now)
+            actions += self._gather(now)
+        actions += self._accept()
         actions += self._report(now)
         actions += self._spreader.tick(now)
         return actions
 
-    def _settle(self, now: float) -> list[Action]:
+    def _gather(self, now: float) -> list[Action]:
         floor = self.gather.result()
-        if floor is None:
-            return list(self.gather.tick(now))
-        self.state.settle(floor)
-        return self._accept()
-
-    def _offer(self, snapshot: Versioned) -> list[Action]:
-        if self.state.offer(snapshot) is versions.Decision.KEEP:
+        if floor is not None:
+            self.state.settle(floor)
             return []
-        return self._accept()
-
-    def _witness(self, sender: Address, version: int) -> list[Action]:
-        if sender not in self._neighbours:
-            return []
-        self._witnessed = max(self._witnessed, version)
-        return self._accept()
+        actions: list[Action] = list(self.gather.tick(self._links, now))
+        if now >= self._read_at:
+            self._read_at = now + self._rng.uniform(0.8, 1.2) * READ_S
+            actions.append(ReadHead())
+        return actions
 
     def _accept(self) -> list[Action]:
-        if self.state.accept(self._witnessed) is versions.Decision.APPLY:
-            return self._put_in_force()
-        return []
-
-    def _put_in_force(self) -> list[Action]:
-        snapshot = self.state.in_force
-        assert snapshot is not None
-        self.tracker.put_in_force(snapshot.version)
-        return [PutInForce(snapshot)]
+        candidate = self.state.candidate
+        if candidate is None:
+            return []
+        known = self._witnesses.highest()
+        if self._witnesses.is_alone:
+            known = candidate.version
+        if self.state.accept(known) is not versions.Decision.APPLY:
+            return []
+        self.tracker.put_in_force(candidate.version)
+        return [PutInForce(candidate)]
 
     def _report(self, now: float) -> list[Action]:
         candidate = self.state.candidate
         if candidate is None or not self.state.is_settled:
             return []
-        if not self._neighbours & self._links:
-            self._witnessed = max(self._witnessed, candidate.version)
-            return self._accept()
-        due = [
-            peer
-            for peer in sorted(self._neighbours & self._links)
-            if now - self._reported_at.get(peer, float("-inf")) >= REPORT_S
-        ]
-        self._reported_at.update(dict.fromkeys(due, now))
-        return [SendReport(peer, candidate.version) for peer in due]
+        return list(self._witnesses.tick(candidate.version, now))
--- a/libs/distribution/src/filbertlift_distribution/spread.py
+++ b/libs/distribution/src/filbertlift_distribution/spread.py
@@ -82,6 +82,7 @@
     _told: dict[Address, int] = attrs.field(factory=dict)
     _offers: dict[Address, _Offer] = attrs.field(factory=dict)
     _fetch: _Fetch | None = None
+    _is_whole_wanted: bool = False
 
     @classmethod
     def create(cls, state: versions.VersionState) -> "Spreader":
@@ -127,8 +128,13 @@
             self._fetch = None
 
     def fail_fetch(self, sender: Address) -> None:
-        """Notes that what a node sent was refused; asks another next."""
+        """Notes that what a node sent was refused.
+
+        Another notifier is asked next, and for the whole, since the base of
+        the change may have been at fault.
+        """
         self._offers.pop(sender, None)
+        self._is_whole_wanted = True
         if self._fetch is not None and self._fetch.to == sender:
             self._fetch = None
 
@@ -170,4 +176,6 @@
             return []
         peer = next(iter(self._offers))
         self._fetch = _Fetch(peer, self._offers[peer].version, now)
-        return [SendFetch(peer, held)]
+        base = 0 if self._is_whole_wanted else held
+        self._is_whole_wanted = False
+        return [SendFetch(peer, base)]
