--- a/libs/config/src/filbertlift_config/keys.py
+++ b/libs/config/src/filbertlift_config/keys.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Callable
+import json
 import re
 from typing import Any
 from typing import Final
@@ -256,3 +257,13 @@
 def select_keys(table: str) -> dict[str, Key]:
     """Returns the keys of one table by name."""
     return {key.name: key for key in KEYS if key.table == table}
+
+
+def format_row(key: Key) -> str:
+    """Returns the row of a key in the table of docs/configuration.md."""
+    if key.default is None:
+        default = "required" if key.table else "-"
+    else:
+        default = f"`{json.dumps(key.default)}`"
+    cells = (f"`{key.path}`", default, key.unit, key.allowed, key.help)
+    return f"| {' | '.join(cells)} |"
--- /dev/null
+++ b/libs/config/tests/test_snapshot.py
@@ -0,0 +1,295 @@
+"""Tests of versions, deltas, rebasing, routes and tokens."""
+
+from typing import Any
+from unittest import mock
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from filbertlift_config import delta as deltas
+from filbertlift_config import exceptions
+from filbertlift_config import head as heads
+from filbertlift_config import page as paging
+from filbertlift_config import publication as planning
+from filbertlift_config import routes
+from filbertlift_config import section as codec
+from filbertlift_config import snapshot as snapshots
+from filbertlift_config import tokens
+
+EMPTY = snapshots.Snapshot.empty()
+CHANGES = st.dictionaries(
+    st.sampled_from("abcdefgh"), st.none() | st.integers(1, 3), max_size=4
+)
+
+
+def make_version(
+    old: snapshots.Snapshot, changes: dict[str, Any], publication: str = "p"
+) -> snapshots.Snapshot:
+    """Returns the next version; integers stand for slots."""
+    sections = {
+        name: codec.Section(name, slots=value)
+        if isinstance(value, int)
+        else value
+        for name, value in changes.items()
+    }
+    return old.advance(sections, publication)
+
+
+def rebuild(snapshot: snapshots.Snapshot) -> snapshots.Snapshot:
+    """Returns the snapshot built from its encoded parts."""
+    contents = {}
+    for section in snapshot.sections.values():
+        data = codec.encode_section(section)
+        contents[codec.hash_bytes(data)] = data
+    head = heads.decode_head(heads.encode_head(snapshot.head))
+    pages = [paging.encode_page(page.entries) for page in snapshot.pages]
+    return snapshots.Snapshot.build(head, pages, contents)
+
+
+@given(st.lists(CHANGES, min_size=1, max_size=70), st.integers(0, 69))
+def test_delta_gives_the_version_that_was_built(
+    steps: list[dict[str, int | None]], start: int
+) -> None:
+    """Guards against a node whose version differs from the store's."""
+    versions = [EMPTY]
+    for number, changes in enumerate(steps):
+        versions.append(make_version(versions[-1], changes, f"p{number}"))
+    old = versions[min(start, len(versions) - 2)]
+    new = versions[-1]
+    data = deltas.encode_delta(deltas.make_delta(old, new))
+    result = deltas.apply_delta(old, deltas.decode_delta(data))
+    assert result.head == new.head
+    assert result.sections == new.sections == rebuild(new).sections
+
+
+def test_altered_or_misdirected_delta_is_refused() -> None:
+    """Guards against applying a delta without checking its root."""
+    one = make_version(EMPTY, {"a": 1, "b": 1})
+    two = make_version(one, {"a": 2})
+    delta = deltas.make_delta(one, two)
+    other = codec.Section("a", slots=3)
+    forged = paging.Change(2, codec.encode_section(other), other)
+    bad = [
+        attrs.evolve(delta, changed={"a": forged}),
+        attrs.evolve(delta, changed={}),
+        attrs.evolve(delta, removed=("b",)),
+        attrs.evolve(delta, base_version=2),
+    ]
+    for item in bad:
+        with pytest.raises(exceptions.SnapshotError):
+            deltas.apply_delta(one, item)
+    with pytest.raises(exceptions.SnapshotError):
+        deltas.apply_delta(EMPTY, delta)
+
+
+def test_incomplete_or_altered_version_is_refused() -> None:
+    """Guards against putting a part of a version in force."""
+    version = make_version(EMPTY, {"a": 1})
+    pages = [paging.encode_page(page.entries) for page in version.pages]
+    data = codec.encode_section(codec.Section("a", slots=2))
+    digest = version.get_entry("a")
+    assert digest is not None
+    for contents in ({}, {digest.hash: data}):
+        with pytest.raises(exceptions.SnapshotError):
+            snapshots.Snapshot.build(version.head, pages, contents)
+    with pytest.raises(exceptions.SnapshotError):
+        snapshots.Snapshot.build(version.head, [pages[0]] * 64, {})
+    unknown = codec.Section("b", callers=("nobody",))
+    with pytest.raises(exceptions.SnapshotError):
+        version.advance({"b": unknown}, "p")
+
+
+@given(st.binary(max_size=60), st.integers(0, 2_000), st.integers(0, 40))
+def test_hostile_heads_pages_and_deltas_raise_only_the_library_error(
+    data: bytes, start: int, length: int
+) -> None:
+    """Guards against a node that fails on bytes from a peer or the store."""
+    version = make_version(EMPTY, {"a": 1})
+    delta = deltas.make_delta(EMPTY, version)
+    page = version.pages[paging.select_page("a")]
+    for good, decode in (
+        (heads.encode_head(version.head), heads.decode_head),
+        (paging.encode_page(page.entries), paging.decode_page),
+        (deltas.encode_delta(delta), deltas.decode_delta),
+    ):
+        try:
+            decode(good[:start] + data + good[start + length :])
+        except exceptions.SnapshotError:
+            continue
+
+
+def make_large() -> snapshots.Snapshot:
+    return make_version(
+        EMPTY, {f"service-{number}": 1 for number in range(810)}
+    )
+
+
+def test_delta_of_one_section_reads_and_hashes_one_section() -> None:
+    """Guards against work for 810 services at each change."""
+    old = make_large()
+    new = make_version(old, {"service-7": 2})
+    data = deltas.encode_delta(deltas.make_delta(old, new))
+    assert len(data) < 1_024
+    with (
+        mock.patch.object(
+            codec, "decode_section", wraps=codec.decode_section
+        ) as decode,
+        mock.patch.object(
+            paging, "encode_page", wraps=paging.encode_page
+        ) as encode,
+    ):
+        result = deltas.apply_delta(old, deltas.decode_delta(data))
+    assert (decode.call_count, encode.call_count) == (1, 1)
+    assert result.sections["service-8"] is old.sections["service-8"]
+    table = routes.compile_routes(old)
+    with mock.patch.object(
+        routes, "_compile_service", wraps=routes._compile_service
+    ) as compile_one:
+        routes.compile_routes(result, table)
+    assert compile_one.call_count == 1
+
+
+def test_rebase_keeps_others_and_reports_the_same_section() -> None:
+    """Guards against overwriting what another operator published."""
+    one = make_version(EMPTY, {"a": 1, "b": 1})
+    base = planning.Base.from_snapshot(one)
+    two = make_version(one, {"b": 2})
+    wanted = {"a": codec.Section("a", slots=5), "b": one.sections["b"]}
+    plan = planning.plan_publication(base, two, wanted, "q")
+    assert isinstance(plan, planning.Plan)
+    assert plan.snapshot.sections["b"].slots == 2
+    back = make_version(make_version(two, {"a": 9}), {"a": 1})
+    found = planning.plan_publication(base, back, wanted, "q")
+    assert found == planning.Conflict(("a",), 1, 4)
+    broken = {"a": codec.Section("a", callers=("nobody",))}
+    result = planning.plan_publication(base, two, broken, "q")
+    assert isinstance(result, planning.Invalid)
+
+
+def make_routed() -> snapshots.Snapshot:
+    archive = codec.Section(
+        "archive",
+        callers=("desk",),
+        records=(codec.Record("/partners/kilbride", "custody"),),
+        operations=(
+            codec.Operation("GET", "/status", retries=1),
+            codec.Operation("GET", "/status/long", retries=2),
+        ),
+    )
+    custody = codec.Section(
+        "custody",
+        callers=("firms",),
+        operations=(codec.Operation("GET", "/", deadline_ms=90),),
+    )
+    caller = codec.Section("firms", kind="caller")
+    return make_version(
+        EMPTY,
+        {"archive": archive, "custody": custody, "firms": caller, "desk": 1},
+    )
+
+
+def test_longest_prefix_of_whole_segments_is_the_operation() -> None:
+    table = routes.compile_routes(make_routed())
+    for path, retries in (
+        ("/status", 1),
+        ("/status/long/x/y/z", 2),
+        ("/status/longer", 1),
+        ("/statuses", 0),
+        ("/", 0),
+        ("", 0),
+    ):
+        route = table.find("archive", "GET", path, "desk")
+        assert (route.service, route.retries) == ("archive", retries), path
+    assert table.find("archive", "POST", "/status", "desk").operation == ""
+
+
+def test_records_are_followed_and_rights_are_those_of_the_new_service() -> None:
+    """Guards against a former partner's rights after a hand-over."""
+    table = routes.compile_routes(make_routed())
+    path = "/partners/kilbride/7"
+    route = table.find("archive", "GET", path, "firms")
+    assert (route.service, route.deadline_s) == ("custody", 0.09)
+    with pytest.raises(exceptions.CallerRefusedError):
+        table.find("archive", "GET", path, "desk")
+    with pytest.raises(exceptions.CallerRefusedError):
+        table.find("archive", "GET", "/partners/kilbrides", "firms")
+    for name in ("nobody", "firms"):
+        with pytest.raises(exceptions.UnknownServiceError):
+            table.find(name, "GET", "/", "desk")
+
+
+def test_route_names_the_version_in_which_it_last_changed() -> None:
+    """Guards against a keeper that takes a route for older than it is."""
+    one = make_routed()
+    table = routes.compile_routes(one)
+    changed = attrs.evolve(one.sections["custody"], slots=3)
+    two = make_version(one, {"custody": changed})
+    three = make_version(two, {"custody": one.sections["custody"]})
+    table = routes.compile_routes(three, table)
+    assert table.version == 3
+    assert table.find("archive", "GET", "/", "desk").version == 1
+    moved = table.find("archive", "GET", "/partners/kilbride", "firms")
+    assert moved.version == 3
+    assert table.service_policy("custody").slots == 16
+
+
+def make_signed(*keys: str) -> snapshots.Snapshot:
+    caller = codec.Section("firms", kind="caller", keys=keys)
+    return make_version(EMPTY, {"firms": caller})
+
+
+def test_token_is_verified_once_and_ends() -> None:
+    """Guards against a signature check at each call, and endless tokens."""
+    pair = tokens.generate_key()
+    verifier = tokens.TokenVerifier.from_snapshot(make_signed(pair.public_key))
+    token = tokens.sign_token(pair.private_key, "firms", 1_000, 60)
+    with mock.patch.object(
+        tokens, "_split_token", wraps=tokens._split_token
+    ) as split:
+        assert [verifier.verify(token, 1_000) for _ in range(3)] == (
+            ["firms"] * 3
+        )
+    assert split.call_count == 1
+    with pytest.raises(exceptions.TokenError):
+        verifier.verify(token, 1_060)
+    with pytest.raises(exceptions.TokenError):
+        verifier.verify(token, 1_000 - tokens.MAX_LIFETIME_S - 1)
+
+
+def test_keys_rotate_and_a_withdrawn_key_ends_its_tokens() -> None:
+    """Guards against a cached token that outlives its key."""
+    old, new = tokens.generate_key(), tokens.generate_key()
+    first = tokens.TokenVerifier.from_snapshot(make_signed(old.public_key))
+    token = tokens.sign_token(old.private_key, "firms", 0, 60)
+    first.verify(token, 0)
+    both = make_signed(old.public_key, new.public_key)
+    second = tokens.TokenVerifier.from_snapshot(both, first)
+    renewed = tokens.sign_token(new.private_key, "firms", 0, 60)
+    assert second.verify(token, 0) == second.verify(renewed, 0) == "firms"
+    last = make_signed(new.public_key)
+    third = tokens.TokenVerifier.from_snapshot(last, second)
+    assert third.verify(renewed, 0) == "firms"
+    with pytest.raises(exceptions.TokenError):
+        third.verify(token, 0)
+
+
+def test_cache_of_tokens_is_bounded() -> None:
+    pair = tokens.generate_key()
+    verifier = tokens.TokenVerifier.from_snapshot(
+        make_signed(pair.public_key), cache_size=2
+    )
+    for lifetime in (10, 20, 30):
+        token = tokens.sign_token(pair.private_key, "firms", 0, lifetime)
+        verifier.verify(token, 0)
+    assert len(verifier._cache) == 2
+
+
+@given(st.text(max_size=80) | st.from_regex(r"firms\.[0-9]+\.[A-Za-z_-]*"))
+def test_hostile_tokens_raise_only_the_library_error(token: str) -> None:
+    """Guards against a caller that can fail a node with a header."""
+    pair = tokens.KeyPair("", "NPpyP4zDnkNsR0r3yGLdUuNsfTz3gp1YEmMGdDEp1kY=")
+    verifier = tokens.TokenVerifier.from_snapshot(make_signed(pair.public_key))
+    with pytest.raises(exceptions.TokenError):
+        verifier.verify(token, 0)
--- a/libs/store/tests/conftest.py
+++ b/libs/store/tests/conftest.py
@@ -1,6 +1,7 @@
 """A small fake of the store whose calls a test carries out one by one."""
 
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 import attrs
@@ -31,10 +32,8 @@
 
     def lose(self, error: exceptions.StoreError) -> None:
         """Carries it out and answers with an error all the same."""
-        try:
+        with contextlib.suppress(exceptions.StoreError):
             self.apply()
-        except exceptions.StoreError:
-            pass
         self.answer.errback(error)
 
     def refuse(self) -> None:
--- a/libs/store/tests/test_publisher.py
+++ b/libs/store/tests/test_publisher.py
@@ -1,5 +1,6 @@
 """Tests of publication and clean-up over a store that fails in many ways."""
 
+import contextlib
 import random
 from typing import Any
 
@@ -257,10 +258,8 @@
         """A call whose caller gave up takes effect, perhaps once more."""
         if not self.late:
             return
-        try:
+        with contextlib.suppress(exceptions.StoreError):
             self.late.pop(index % len(self.late))()
-        except exceptions.StoreError:
-            pass
 
     @stateful.rule()
     def refuse_calls(self) -> None:
@@ -285,10 +284,8 @@
     def clean_at_once(self, now: int) -> None:
         """Clean-up runs while the calls under way wait."""
         self.now_s += now
-        try:
+        with contextlib.suppress(exceptions.StoreError):
             read_now(cleanup.clean_store(self.direct, CLUSTER, self.now_s))
-        except exceptions.StoreError:
-            pass
 
     @stateful.rule()
     def start_reader(self) -> None:
