--- a/conftest.py
+++ b/conftest.py
@@ -10,4 +10,14 @@
 hypothesis.settings.register_profile(
     "fuzz", deadline=None, max_examples=1000, stateful_step_count=80
 )
+# A planted fault only has to be found, not shown in its shortest form.
+hypothesis.settings.register_profile(
+    "mutations",
+    derandomize=True,
+    deadline=None,
+    max_examples=1000,
+    stateful_step_count=80,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+)
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- a/libs/calls/src/filbertlift_calls/choice.py
+++ b/libs/calls/src/filbertlift_calls/choice.py
@@ -165,7 +165,7 @@
     for _ in range(MAX_DRAWS):
         pair = _draw_pair(service.tiers[tier], wish, rng)
         for view in pair:
-            if service.is_silent(view, now) and service.eject(view, now):
+            if not service.check(view, now):
                 continue
             if best is None or _is_better(service, view, best, now):
                 best = view
@@ -210,7 +210,10 @@
     load = view.in_flight + 1.0
     if view.queue and now - view.queue_at <= views.QUEUE_AGE_S:
         load += view.queue
-    latency_s = view.latency_s or service.get_median(view)
+    latency_s = service.get_median(view)
+    is_recent = now - view.measured_at <= views.LATENCY_AGE_S
+    if is_recent and view.latency_s > views.EQUAL_FACTOR * latency_s:
+        latency_s = view.latency_s
     result = load * max(latency_s, views.LATENCY_FLOOR_S)
     if now < view.penalty_until:
         result *= view.penalty
--- a/libs/calls/src/filbertlift_calls/targets.py
+++ b/libs/calls/src/filbertlift_calls/targets.py
@@ -45,6 +45,7 @@
         queue_at: when it reported them.
         latency_s: average time of short calls.
         samples: how many were measured.
+        measured_at: when the last one was.
         slow_since: when it became slow, or None.
         heard: when a short call ended, or the first of those in flight went.
         penalty: factor of the score after failures.
@@ -66,6 +67,7 @@
     queue_at: float = _NEVER
     latency_s: float = 0.0
     samples: int = 0
+    measured_at: float = _NEVER
     slow_since: float | None = None
     heard: float = _NEVER
     penalty: float = 1.0
--- a/libs/calls/src/filbertlift_calls/views.py
+++ b/libs/calls/src/filbertlift_calls/views.py
@@ -35,6 +35,12 @@
 MEDIAN_AGE_S: Final = 0.1
 # A target that vanished still owns its keys for this time, in seconds.
 LOST_S: Final = 120.0
+# An average that no call renewed counts as the median after this time, in
+# seconds; else a target that was a little slow once would get no call again.
+LATENCY_AGE_S: Final = 1.0
+# Averages up to this many times the median count as equal. Else, with few calls
+# in flight from each node, all nodes would prefer the same target.
+EQUAL_FACTOR: Final = 1.5
 # Times below this are noise of the loop, in seconds.
 LATENCY_FLOOR_S: Final = 0.001
 _NEVER: Final = float("-inf")
@@ -137,9 +143,7 @@
         if work is model.WorkClass.LONG:
             self._end_probe(view, now, False)
             return
-        view.samples += 1
-        gain = max(LATENCY_GAIN, 1.0 / view.samples)
-        view.latency_s += gain * (latency_s - view.latency_s)
+        _add_latency(view, latency_s, now)
         self._refresh_median(now)
         if view.ejected_until is not None:
             self._judge_probe(view, latency_s, now)
@@ -166,7 +170,21 @@
         self._note_end(view, work, now)
         self._end_probe(view, now, False)
 
-    def is_silent(self, view: targets.TargetView, now: float) -> bool:
+    def check(self, view: targets.TargetView, now: float) -> bool:
+        """Returns whether a target may be chosen; leaves it out if not.
+
+        A slow target is drawn but loses, so no answer of its own would come to
+        leave it out and start its probes.
+        """
+        is_slow = (
+            view.slow_since is not None
+            and now - view.slow_since >= SLOW_AFTER_S
+        )
+        if not is_slow and not self._is_silent(view, now):
+            return True
+        return not self.eject(view, now)
+
+    def _is_silent(self, view: targets.TargetView, now: float) -> bool:
         """Returns whether short calls went out and none came back in time."""
         median_s = self.get_median(view)
         if view.short_in_flight == 0 or not median_s:
@@ -307,6 +325,19 @@
             self.medians_s[is_far] = values[middle] if values else 0.0
 
 
+def _add_latency(
+    view: targets.TargetView, latency_s: float, now: float
+) -> None:
+    """Averages in one latency; an old average says nothing any more."""
+    if now - view.measured_at > LATENCY_AGE_S:
+        view.samples = min(view.samples, MIN_SAMPLES)
+        view.latency_s = latency_s
+    view.measured_at = now
+    view.samples += 1
+    gain = max(LATENCY_GAIN, 1.0 / view.samples)
+    view.latency_s += gain * (latency_s - view.latency_s)
+
+
 def _get_tier(here: model.Place, there: model.Place) -> targets.Tier:
     if here.region != there.region:
         return targets.Tier.ELSEWHERE
--- /dev/null
+++ b/libs/calls/tests/test_admission.py
@@ -0,0 +1,129 @@
+"""Tests of admission beside one target."""
+
+from filbertlift_calls import admission
+from filbertlift_calls import codes
+from filbertlift_calls import tickets
+from filbertlift_core import model
+
+CHECK, COUNTER, LONG = model.WorkClass
+
+
+def make_ticket(
+    number: int,
+    work: model.WorkClass,
+    caller: str = "a",
+    deadline: float = 1_000.0,
+) -> tickets.Ticket:
+    return tickets.Ticket(f"call-{number}", caller, work, deadline)
+
+
+def measure(
+    state: admission.Admission, work: model.WorkClass, s: float
+) -> None:
+    """Runs one call of the class to set its mean time."""
+    started = state.offer(make_ticket(-1, work), 0.0)
+    assert isinstance(started, tickets.Start)
+    state.release(started.ticket, s, 0.0)
+
+
+def offer_long(state: admission.Admission, count: int, now: float) -> int:
+    """Returns how many of the offered long calls start at once."""
+    results = [state.offer(make_ticket(i, LONG), now) for i in range(count)]
+    return sum(isinstance(result, tickets.Start) for result in results)
+
+
+def test_long_leaves_half_of_the_slots_while_short_work_comes() -> None:
+    """Guards against batches that block the counter."""
+    state = admission.make_priority_admission(8)
+    measure(state, COUNTER, 0.01)
+    measure(state, LONG, 1.0)
+    assert offer_long(state, 8, 0.0) == 4
+    short = state.offer(make_ticket(9, COUNTER), 0.0)
+    assert isinstance(short, tickets.Start)
+
+
+def test_long_is_lent_more_when_a_slot_returns_fast_enough() -> None:
+    """Four running calls of 0.04 s return a slot each 0.01 s."""
+    state = admission.make_priority_admission(8)
+    measure(state, COUNTER, 0.01)
+    measure(state, LONG, 0.04)
+    assert offer_long(state, 8, 0.0) == 7
+
+
+def test_idle_slots_serve_long_work_when_short_work_stays_away() -> None:
+    """Guards against a half of the target that is idle for ever."""
+    state = admission.make_priority_admission(8)
+    measure(state, COUNTER, 0.01)
+    measure(state, LONG, 1.0)
+    assert offer_long(state, 8, 0.0) == 4
+    later = state.poll(admission.SHORT_MEMORY_S + 0.1)
+    assert len(later) == 3
+
+
+def test_callers_of_one_class_take_turns() -> None:
+    """Guards against one caller that fills the queue before the others."""
+    state = admission.make_priority_admission(1)
+    running = make_ticket(0, COUNTER)
+    state.offer(running, 0.0)
+    for number, caller in enumerate("aaab", start=1):
+        state.offer(make_ticket(number, COUNTER, caller), 0.0)
+    order = []
+    for _ in range(4):
+        running = state.release(running, 0.01, 0.0)[0].ticket
+        order.append(running.caller)
+    assert order == ["a", "b", "a", "a"]
+
+
+def test_early_shed_names_the_time_until_the_wait_fits() -> None:
+    """Guards against work that waits in vain, and against a made up time."""
+    state = admission.make_priority_admission(1)
+    measure(state, COUNTER, 1.0)
+    for number in range(3):
+        state.offer(make_ticket(number, COUNTER), 0.0)
+    shed = state.offer(make_ticket(4, COUNTER, deadline=2.5), 0.0)
+    assert isinstance(shed, tickets.Shed)
+    assert shed.code == codes.WAIT
+    # Two wait, one runs, and it needs a second itself: 4 s against 2.5 s.
+    assert abs(shed.retry_after_s - 1.5) < 1e-9
+
+
+def test_expired_work_costs_no_slot() -> None:
+    """Guards against runs whose caller has stopped waiting."""
+    state = admission.make_priority_admission(1)
+    running = make_ticket(0, COUNTER)
+    state.offer(running, 0.0)
+    state.offer(make_ticket(1, COUNTER, deadline=1.0), 0.0)
+    state.offer(make_ticket(2, COUNTER, deadline=9.0), 0.0)
+    results = state.release(running, 0.1, 2.0)
+    assert [type(r) for r in results] == [tickets.Drop, tickets.Start]
+
+
+def test_full_queue_of_long_work_does_not_shed_a_check() -> None:
+    """Guards against a bound that all classes share."""
+    state = admission.make_priority_admission(1, queue_limit=1)
+    for number in range(3):
+        last = state.offer(make_ticket(number, LONG), 0.0)
+    assert isinstance(last, tickets.Shed)
+    assert last.code == codes.QUEUE_FULL
+    check = state.offer(make_ticket(9, CHECK), 0.0)
+    assert isinstance(check, tickets.Queued)
+
+
+def test_withdrawn_work_leaves_no_memory() -> None:
+    """Guards against a heap of deadlines that grows with withdrawals."""
+    state = admission.make_priority_admission(1)
+    state.offer(make_ticket(0, COUNTER), 0.0)
+    for number in range(1, 1_000):
+        state.offer(make_ticket(number, COUNTER), 0.0)
+        assert state.withdraw(f"call-{number}")
+    assert len(state._deadlines) <= admission.STALE_HEAP + 1
+
+
+def test_fifo_keeps_the_order_of_arrival() -> None:
+    """The baseline knows no classes."""
+    state = admission.make_fifo_admission(1)
+    running = make_ticket(0, COUNTER)
+    state.offer(running, 0.0)
+    state.offer(make_ticket(1, LONG), 0.0)
+    state.offer(make_ticket(2, CHECK), 0.0)
+    assert state.release(running, 0.1, 0.0)[0].ticket.call_id == "call-1"
--- a/libs/calls/tests/test_at_most_once.py
+++ b/libs/calls/tests/test_at_most_once.py
@@ -86,29 +86,26 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, int] = {}
-        self.fingerprints: dict[str, set[int]] = {}
-        self.never: dict[str, float] = {}
+        self.ran: set[tuple[str, int]] = set()
+        self.never: dict[tuple[str, int], float] = {}
 
     def run(self, work: Work) -> None:
         runs = self.runs[work.call_id] = self.runs.get(work.call_id, 0) + 1
-        self.fingerprints.setdefault(work.call_id, set()).add(work.fingerprint)
         assert work.idempotent or runs == 1, "ran twice"
-        never = self.never.get(work.call_id, 0)
+        request = (work.call_id, work.fingerprint)
+        never = self.never.get(request, 0)
         assert work.attempt > never, "ran after 'not run' was told"
+        self.ran.add(request)
 
     def tell(self, request: Request, answer: outcomes.Answer) -> None:
-        ran = request.fingerprint in self.fingerprints.get(
-            request.call_id, set()
-        )
+        key = (request.call_id, request.fingerprint)
         if answer.outcome is model.Outcome.DONE:
-            assert ran, "done, but it never ran"
+            assert key in self.ran, "told 'done', but it never ran"
         if answer.outcome is not NOT_RUN:
             return
-        assert not ran, "told 'not run', but it ran"
-        if not (request.keyed and answer.code == codes.KEY_REUSED):
-            last = request.client_attempt if request.keyed else 1e9
-            before = self.never.get(request.call_id, 0)
-            self.never[request.call_id] = max(before, last)
+        assert key not in self.ran, "told 'not run', but it ran"
+        last = request.client_attempt if request.keyed else 1e9
+        self.never[key] = max(self.never.get(key, 0), last)
 
 
 class CallMachine(stateful.RuleBasedStateMachine):
@@ -415,15 +412,16 @@
         if frame.is_live() and self.now - frame.sent_at <= keeper.RETENTION_S:
             frame.deliver()
 
+    @stateful.precondition(lambda self: self.frames)
     @stateful.rule()
     def deliver_oldest(self) -> None:
-        if self.frames:
-            self.deliver(0, False)
+        self.deliver(0, False)
 
     @stateful.precondition(lambda self: self.frames)
-    @stateful.rule(pick=ANY)
-    def lose_frame(self, pick: int) -> None:
-        del self.frames[pick % len(self.frames)]
+    @stateful.rule()
+    def deliver_newest(self) -> None:
+        """A new link overtakes what is on its way on an old one."""
+        self.deliver(-1, False)
 
     @stateful.rule(entry=PAIR, host=PAIR)
     def break_link(self, entry: int, host: int) -> None:
@@ -457,12 +455,11 @@
         end = outcomes.AttemptEnd.NOT_RUN
         self.reply(asker, outcomes.Attempt(end, codes.WITHDRAWN))
 
-    @stateful.rule(host=PAIR, pick=ANY, action=st.integers(0, 5))
-    def step_target(self, host: int, pick: int, action: int) -> None:
-        node = self.hosts[host]
-        if not node.work:
-            return
-        work = list(node.work.values())[pick % len(node.work)]
+    @stateful.precondition(lambda self: any(h.work for h in self.hosts))
+    @stateful.rule(pick=ANY, action=st.integers(0, 5))
+    def step_target(self, pick: int, action: int) -> None:
+        choices = [(h, w) for h in self.hosts for w in h.work.values()]
+        node, work = choices[pick % len(choices)]
         if action <= 2 and not work.ran:
             work.ran = True
             self.oracle.run(work)
@@ -480,40 +477,44 @@
         """A target runs a call although its connection was lost."""
         self.oracle.run(self.zombies.pop())
 
-    @stateful.rule(host=PAIR)
-    def restart_host(self, host: int) -> None:
-        """The node restarts; its target may still run what it was sent."""
-        self.zombies += [w for w in self.hosts[host].work.values() if not w.ran]
-        self.hosts[host] = self.make_host(host)
-
-    @stateful.rule(host=PAIR)
-    def restart_target(self, host: int) -> None:
-        node = self.hosts[host]
-        for work in list(node.work.values()):
-            if work.call_id in node.work:
-                self.end_work(node, work, codes.TARGET_LOST)
-
-    @stateful.rule(entry=PAIR)
-    def restart_entry(self, entry: int) -> None:
-        self.requests = [r for r in self.requests if r.entry != entry]
-
-    @stateful.rule(host=PAIR, is_draining=st.booleans())
-    def drain(self, host: int, is_draining: bool) -> None:
-        node = self.hosts[host]
+    @stateful.rule(
+        index=PAIR,
+        pick=ANY,
+        kind=st.sampled_from(
+            ["host", "target", "entry", "drain", "resume", "slots", "lose"]
+        ),
+    )
+    def disturb(self, index: int, pick: int, kind: str) -> None:
+        """One rule for all, so that most steps carry calls forward."""
+        node = self.hosts[index]
         results: list[Any] = []
-        if is_draining:
+        if kind == "host":
+            self.restart_host(node)
+        elif kind == "target":
+            self.restart_target(node)
+        elif kind == "entry":
+            self.requests = [r for r in self.requests if r.entry != index]
+        elif kind == "drain":
             node.admission.pause(codes.DRAINING)
             results += node.admission.clear(codes.DRAINING)
-        else:
+        elif kind == "resume":
             results += node.admission.resume(self.clock(node))
+        elif kind == "slots":
+            results += node.admission.set_slots(1 + pick % 4, self.clock(node))
+        elif self.frames:
+            del self.frames[pick % len(self.frames)]
         for result in results:
             self.admit(node, result)
 
-    @stateful.rule(host=PAIR, slots=st.integers(1, 4))
-    def set_slots(self, host: int, slots: int) -> None:
-        node = self.hosts[host]
-        for result in node.admission.set_slots(slots, self.clock(node)):
-            self.admit(node, result)
+    def restart_host(self, host: Host) -> None:
+        """The node restarts; its target may still run what it was sent."""
+        self.zombies += [w for w in host.work.values() if not w.ran]
+        self.hosts[host.index] = self.make_host(host.index)
+
+    def restart_target(self, host: Host) -> None:
+        for work in list(host.work.values()):
+            if work.call_id in host.work:
+                self.end_work(host, work, codes.TARGET_LOST)
 
     @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 6.0, 35.0]))
     def advance(self, seconds: float) -> None:
--- /dev/null
+++ b/tools/check_mutations.py
@@ -0,0 +1,320 @@
+"""Plants known faults in the decisions and demands that a test finds each.
+
+`python tools/check_mutations.py [name ...]` runs the named faults, or all. A
+fault is a text patch of one module in a temporary copy of its library; the test
+file runs with that copy first in the path. A fault counts as found only when
+an assertion of the test fails or the library raises one of its own errors: an
+import error or a crash of the patch itself does not count.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import Final
+
+import attrs
+
+ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+# Time for one fault, in seconds; the longest test takes about 60.
+LIMIT_S: Final = 300
+# pytest: 1 means that tests ran and failed, 2 and more that they didn't run.
+TESTS_FAILED: Final = 1
+CALLS_TEST: Final = "libs/calls/tests/test_at_most_once.py"
+
+
+@attrs.frozen
+class Fault:
+    """One planted fault.
+
+    Attributes:
+        name: what goes wrong, in a few words.
+        library: library of the module.
+        module: file name without `.py`.
+        old: text that occurs exactly once in the module.
+        new: text that replaces it.
+        test: test file that has to fail, relative to the root.
+    """
+
+    name: str
+    library: str
+    module: str
+    old: str
+    new: str
+    test: str
+
+
+FAULTS: Final = (
+    Fault(
+        "retry an ambiguous booking",
+        "calls",
+        "outcomes",
+        "    if ran and not call.idempotent:\n        return False\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run at the deadline, before the withdrawal is confirmed",
+        "calls",
+        "outcomes",
+        "    AttemptEnd.DEADLINE_SENT: codes.TIMEOUT,\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run for a link lost before settling",
+        "calls",
+        "outcomes",
+        "    if attempt.end is AttemptEnd.LINK_LOST_SENT and"
+        " call.time_left_s > 0:\n"
+        "        return SettleFirst(codes.LINK_LOST)\n",
+        "    if attempt.end is AttemptEnd.LINK_LOST_SENT:\n"
+        "        return _tell_not_run(attempt, call, codes.WITHDRAWN)\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run although an earlier attempt may have run",
+        "calls",
+        "outcomes",
+        "    if call.may_have_run and not (",
+        "    if False and not (",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the incarnation in a settlement",
+        "calls",
+        "keeper",
+        "        if inquiry.incarnation != self.incarnation:\n"
+        "            return records.Settlement(call_id,",
+        "        if False:\n            return records.Settlement(call_id,",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the incarnation of a repeat",
+        "calls",
+        "keeper",
+        "        if refusal is not None:\n            return refusal\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "take the absence of a forgotten id as proof",
+        "calls",
+        "keeper",
+        "        if inquiry.age_s > RETENTION_S:\n",
+        "        if False:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "confirm the withdrawal of a running call",
+        "calls",
+        "keeper",
+        "        if entry.state is records.CallState.RUNNING"
+        " or entry.askers > 0:\n",
+        "        if entry.state is records.CallState.RUNNING:\n"
+        "            return records.Withdrawn(call_id)\n"
+        "        if entry.askers > 0:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the tombstone of a settlement",
+        "calls",
+        "keeper",
+        "        self._hold(\n"
+        "            call_id,\n"
+        "            _Entry(\n"
+        "                records.CallState.ABSENT,",
+        "        (lambda *_: None)(\n"
+        "            call_id,\n"
+        "            _Entry(\n"
+        "                records.CallState.ABSENT,",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the tombstone of a withdrawal",
+        "calls",
+        "keeper",
+        "        self.drop(call_id, codes.WITHDRAWN, now)\n",
+        "        entry.attempt = 0\n"
+        "        self.drop(call_id, codes.WITHDRAWN, now)\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "run every repeat of a dropped call",
+        "calls",
+        "keeper",
+        "    if call.attempt <= entry.attempt:\n        return False\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "withdraw a call that another asker waits for",
+        "calls",
+        "keeper",
+        " or entry.askers > 0:",
+        ":",
+        CALLS_TEST,
+    ),
+    Fault(
+        "run a refused copy of a reused key",
+        "calls",
+        "keeper",
+        "    entry.attempt = max(entry.attempt, call.attempt)\n"
+        "    if entry.fingerprint",
+        "    if entry.fingerprint",
+        CALLS_TEST,
+    ),
+    Fault(
+        "answer a reused key with the answer of another request",
+        "calls",
+        "keeper",
+        "    if entry.fingerprint != call.fingerprint:\n",
+        "    if False:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget a running call after its retention",
+        "calls",
+        "keeper",
+        "            if entry.state in _OPEN:\n                entry.expires",
+        "            if False:\n                entry.expires",
+        CALLS_TEST,
+    ),
+    Fault(
+        "exceed the slots",
+        "calls",
+        "admission",
+        "        if self._total >= self.slots:\n",
+        "        if self._total > self.slots:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "start work while draining",
+        "calls",
+        "admission",
+        "        if self.paused is not None:\n            return results\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "serve long work first",
+        "calls",
+        "queues",
+        "        for work in _CLASSES if takes_long else _SHORT:\n",
+        "        for work in reversed(_CLASSES if takes_long else _SHORT):\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "let long work take every slot",
+        "calls",
+        "admission",
+        "        return slots - 1\n",
+        "        return slots\n",
+        CALLS_TEST,
+    ),
+)
+
+
+def plant(fault: Fault, folder: pathlib.Path) -> pathlib.Path:
+    """Copies the library, patches it and returns the folder for the path.
+
+    Raises:
+        ValueError: if the old text does not occur exactly once.
+    """
+    source = folder / "src"
+    shutil.copytree(ROOT / "libs" / fault.library / "src", source)
+    package = source / f"filbertlift_{fault.library}"
+    path = package / f"{fault.module}.py"
+    text = path.read_text(encoding="utf-8")
+    count = text.count(fault.old)
+    if count != 1:
+        raise ValueError(
+            f"{fault.name}: the old text occurs {count} times in {path.name}"
+        )
+    path.write_text(text.replace(fault.old, fault.new), encoding="utf-8")
+    return source
+
+
+def run_test(test: str, source: pathlib.Path) -> tuple[int, str]:
+    """Runs one test file with a patched source folder first in the path."""
+    others = sorted(str(path) for path in ROOT.glob("libs/*/src"))
+    paths = " ".join([str(source), *others])
+    result = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "pytest",
+            "-x",
+            "-p",
+            "no:cacheprovider",
+            "-o",
+            f"pythonpath={paths}",
+            test,
+        ],
+        cwd=ROOT,
+        env={**os.environ, "HYPOTHESIS_PROFILE": "mutations"},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+        check=False,
+    )
+    return result.returncode, result.stdout + result.stderr
+
+
+def find_reason(output: str) -> str | None:
+    """Returns what the test raised, if it is an assertion or our error.
+
+    pytest marks these lines with E; other lines that hold an assertion are the
+    source around the failure.
+    """
+    for line in output.splitlines():
+        if not line.startswith("E "):
+            continue
+        text = line[1:].strip()
+        if text.startswith(("AssertionError", "assert ")) or ": FL-" in text:
+            return text
+    return None
+
+
+def check_fault(fault: Fault) -> str | None:
+    """Returns None when the test finds the fault, else what went wrong."""
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            source = plant(fault, pathlib.Path(folder))
+        except ValueError as error:
+            return str(error)
+        try:
+            status, output = run_test(fault.test, source)
+        except subprocess.TimeoutExpired:
+            return f"no verdict after {LIMIT_S} s"
+    if status == 0:
+        return "not found by its test"
+    reason = find_reason(output)
+    if status != TESTS_FAILED or reason is None:
+        return f"no failed assertion (status {status})\n{output[-2000:]}"
+    print(f"found: {fault.name}: {reason}", flush=True)
+    return None
+
+
+def main(names: list[str]) -> int:
+    """Checks the named faults, or all; returns the exit status."""
+    known = {fault.name for fault in FAULTS}
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        print(f"no such fault: {', '.join(unknown)}")
+        return 64
+    missed = 0
+    for fault in FAULTS:
+        if names and fault.name not in names:
+            continue
+        problem = check_fault(fault)
+        if problem is not None:
+            missed += 1
+            print(f"MISSED: {fault.name}: {problem}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
