--- a/libs/wire/src/filbertlift_wire/messages.py
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -1,16 +1,32 @@
-"""Messages between nodes, one frozen record for each kind."""
+"""Messages between nodes, one frozen record for each kind.
+
+The messages of calls are encoded by msgspec from these annotations. A field
+that a later wire version adds there needs a default, and an older node ignores
+it.
+"""
+
+from typing import Annotated
 
 import attrs
+import msgspec
 
 from filbertlift_core import model
 
+U16 = Annotated[int, msgspec.Meta(ge=0, lt=2**16)]
+U32 = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+# msgspec takes no bound above 63 bits.
+U63 = Annotated[int, msgspec.Meta(ge=0, lt=2**63 - 1)]
+# Text that is written into the head of an HTTP message.
+Line = Annotated[str, msgspec.Meta(pattern=r"\A[^\r\n\0]*\Z")]
+Word = Annotated[str, msgspec.Meta(pattern=r"\A[!-~\x80-\U0010ffff]+\Z")]
+
 
 @attrs.frozen
 class Header:
     """One HTTP header of a call or an answer."""
 
-    name: str
-    value: str
+    name: Word
+    value: Line
 
 
 @attrs.frozen
@@ -88,19 +104,19 @@
         body: the body or its first part.
     """
 
-    stream: int
+    stream: U32
     call_id: bytes
-    caller: str
+    caller: Line
     token: str
     service: str
-    method: str
-    path: str
+    method: Word
+    path: Word
     headers: tuple[Header, ...]
-    deadline_ms: int
-    version: int
-    depth: int
-    attempt: int
-    incarnation: int
+    deadline_ms: U32
+    version: U63
+    depth: U32
+    attempt: U32
+    incarnation: U63
     keyed: bool
     fingerprint: bytes
     more: bool
@@ -126,16 +142,16 @@
         body: the body or its first part.
     """
 
-    stream: int
+    stream: U32
     outcome: model.Outcome
     code: str
-    status: int
+    status: U16
     headers: tuple[Header, ...]
-    queue: int
-    version: int
-    retry_after_ms: int
+    queue: U32
+    version: U63
+    retry_after_ms: U32
     retried: bool
-    incarnation: int
+    incarnation: U63
     more: bool
     body: bytes
 
@@ -144,7 +160,7 @@
 class Chunk:
     """Part of a body; `failed` ends a body that stays incomplete."""
 
-    stream: int
+    stream: U32
     last: bool
     failed: bool
     body: bytes
@@ -154,15 +170,15 @@
 class Credit:
     """Allows the peer to send this many more bytes on a stream."""
 
-    stream: int
-    bytes: int
+    stream: U32
+    bytes: U32
 
 
 @attrs.frozen
 class Cancel:
     """The caller no longer waits for the call."""
 
-    stream: int
+    stream: U32
     call_id: bytes
 
 
@@ -170,7 +186,7 @@
 class Cancelled:
     """Answer to `Cancel`: whether the call had been started."""
 
-    stream: int
+    stream: U32
     call_id: bytes
     ran: bool
 
@@ -187,23 +203,23 @@
         age_ms: time since it was sent, by the sender's clock.
     """
 
-    stream: int
+    stream: U32
     call_id: bytes
-    incarnation: int
-    attempt: int
-    age_ms: int
+    incarnation: U63
+    attempt: U32
+    age_ms: U32
 
 
 @attrs.frozen
 class Settled:
     """Answer to `Settle`, with the kept answer if there is one."""
 
-    stream: int
+    stream: U32
     call_id: bytes
     outcome: model.Outcome
     known: bool
     running: bool
-    status: int
+    status: U16
     headers: tuple[Header, ...]
     body: bytes
 
