--- a/libs/cli/src/filbertlift_cli/rollout.py
+++ b/libs/cli/src/filbertlift_cli/rollout.py
@@ -152,8 +152,13 @@
 def _describe_slow(rows: list[Mapping[str, Any]]) -> list[str]:
     slow = []
     for row in rows:
-        if row.get("ejected") or row.get("slow"):
-            slow.append(f"{row.get('address')} ({row.get('service')})")
+        if not row.get("ejected"):
+            continue
+        text = f"{row.get('address')} ({row.get('service')})"
+        latency_s = row.get("latency_s")
+        if isinstance(latency_s, int | float):
+            text += f", {1_000 * latency_s:.0f} ms"
+        slow.append(text)
     return sorted(slow)
 
 
--- a/libs/cli/tests/test_commands.py
+++ b/libs/cli/tests/test_commands.py
@@ -194,7 +194,10 @@
             for port in self.versions
         ]
         members.append({"status_address": "127.0.0.1:99", "state": "DEAD"})
-        targets = [{"address": "127.0.0.1:5", "service": "a", "slow": True}]
+        targets = [
+            {"address": "127.0.0.1:5", "service": "a", "ejected": True},
+            {"address": "127.0.0.1:6", "service": "a", "ejected": False},
+        ]
         return {"members": members, "targets": targets}
 
 
@@ -212,6 +215,7 @@
     assert "NOT everywhere: 1 of 3 nodes" in text
     assert "lagging: 127.0.0.1:2" in text and "waiting for floor" in text
     assert "silent: 127.0.0.1:3" in text and "slow: 127.0.0.1:5 (a)" in text
+    assert "127.0.0.1:6" not in text
     assert read(Nodes({1: 2, 2: 3}), 2).is_complete
     assert not read(Nodes({}), 2).is_complete
     assert read(Nodes({1: 2, 2: 1}), None).version == 2
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -23,6 +23,9 @@
 # pytest: 1 means that tests ran and failed, 2 and more that they didn't run.
 TESTS_FAILED: Final = 1
 CALLS_TEST: Final = "libs/calls/tests/test_at_most_once.py"
+PUBLISHER_TEST: Final = "libs/store/tests/test_publisher.py"
+RACE_TEST: Final = "libs/store/tests/test_publication_race.py"
+SNAPSHOT_TEST: Final = "libs/config/tests/test_snapshot.py"
 
 
 @attrs.frozen
@@ -214,6 +217,125 @@
         "        return slots\n",
         CALLS_TEST,
     ),
+    Fault(
+        "retry a publication blindly",
+        "store",
+        "publisher",
+        "        if record.publication == publication:\n",
+        "        if False:\n",
+        RACE_TEST,
+    ),
+    Fault(
+        "report failure after a lost answer",
+        "store",
+        "publisher",
+        "    if progress.open is not None:\n"
+        "        return _describe_open(request.publication, progress.open)\n"
+        "    reason",
+        "    reason",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "believe an answer that says conflict",
+        "store",
+        "publisher",
+        "        progress.trouble = str(error)\n        return False",
+        "        progress.open = earlier\n        return False",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "publish again when the proof has left the history",
+        "store",
+        "publisher",
+        "    if progress.open.version <= head.version - heads.HISTORY:\n",
+        "    if False:\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "delete parts without writing the head first",
+        "store",
+        "cleanup",
+        "    yield store.compare_and_swap(\n"
+        "        interface.head_key(cluster), head.revision, head.value\n"
+        "    )\n",
+        "",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "delete what the oldest version of the history names",
+        "store",
+        "cleanup",
+        "drop.version <= oldest and",
+        "drop.version <= oldest + 1 and",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "forget that a dropped part is named again",
+        "store",
+        "cleanup",
+        "    journal = remove_keys(journal, after)\n",
+        "",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "trust the journal across versions that it missed",
+        "store",
+        "cleanup",
+        "        journal = Journal()\n    start",
+        "        pass\n    start",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "take parts as written before the head changed",
+        "store",
+        "parts",
+        "        if self._touched_at != loaded.revision:\n",
+        "        if self._touched_at == -1:\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "leave a part that exists untouched",
+        "store",
+        "parts",
+        "            expected = entry.revision if entry is not None else 0\n",
+        "            if entry is not None:\n                return\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "apply a delta without checking the root",
+        "config",
+        "delta",
+        "    if heads.hash_pages(hashes) != delta.root:\n",
+        "    if False:\n",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "overwrite a section that was changed and changed back",
+        "config",
+        "publication",
+        "        if current.get_entry(name) != base.entries.get(name)\n",
+        "        if getattr(current.get_entry(name), 'hash', None)\n"
+        "        != base.get_hash(name)\n",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "accept the token of a withdrawn key",
+        "config",
+        "tokens",
+        "                if known.get(item.name)"
+        " == previous._keys.get(item.name)\n",
+        "",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "keep the caller's rights at the service that had the records",
+        "config",
+        "routes",
+        "        if found.record_depth:\n            found, since",
+        "        if caller in found.callers and found.record_depth:\n"
+        "            found, since",
+        SNAPSHOT_TEST,
+    ),
 )
 
 
