Repeat keyed calls, lengthen work and lose a data centre in the soak test

Change: work takes up to 0.4 s, keyed calls that were not done are repeated twice at other entries with the same key, and a step kills every node of a data centre. A repeat that did not run leaves the doubt of the first attempt. Goodput counts answers within the deadline. The schedule has its own module.

--- a/libs/harness/src/filbertlift_harness/added.py
+++ b/libs/harness/src/filbertlift_harness/added.py
@@ -8,13 +8,13 @@
 from filbertlift_harness import runs
 from filbertlift_harness import topology as topologies
 from filbertlift_harness import traffic
-from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 _ROUNDS = 1500
 _GAP_S = 0.02
 _WARM_S = 2.0
-_OPERATION = load.Operation("counter", "GET", "/desk/status", work_ms=0.0)
-_DIRECT = load.Operation("direct", "GET", "/status", work_ms=0.0)
+_OPERATION = schedule.Operation("counter", "GET", "/desk/status", work_ms=0.0)
+_DIRECT = schedule.Operation("direct", "GET", "/status", work_ms=0.0)
 
 
 async def measure(reactor: Any) -> list[str]:
@@ -43,12 +43,12 @@
 
 
 def _plan(
-    places: dict[str, tuple[model.Address, load.Operation]],
-) -> list[load.Planned]:
+    places: dict[str, tuple[model.Address, schedule.Operation]],
+) -> list[schedule.Planned]:
     """Returns calls that alternate, one at a time."""
     numbers = itertools.count()
     return [
-        load.Planned(
+        schedule.Planned(
             next(numbers) * _GAP_S, operation, address, f"{name}-{round_}"
         )
         for round_ in range(_ROUNDS)
--- a/libs/harness/src/filbertlift_harness/convergence.py
+++ b/libs/harness/src/filbertlift_harness/convergence.py
@@ -46,17 +46,18 @@
     options = deployments.Options(share_targets=True)
     async with runs.run_deployment(reactor, topology, options) as run:
         deployment, tree = run
-        # Membership is exchanged in full while nodes join.
-        await deployment.pages.sleep(_IDLE_S / 2)
-        before = await control.sample(deployment)
+        # Membership is exchanged in full while nodes join; the idle cost is
+        # taken last, when that is over.
         await deployment.pages.sleep(_IDLE_S)
-        idle = control.ControlRate.between(
-            before, await control.sample(deployment)
-        )
         changes = [
             await _measure_change(deployment, tree, number)
             for number in range(_PUBLICATIONS)
         ]
+        before = await control.sample(deployment)
+        await deployment.pages.sleep(_IDLE_S)
+        idle = control.ControlRate.between(
+            before, await control.sample(deployment)
+        )
     return _format(size, idle, changes)
 
 
--- a/libs/harness/src/filbertlift_harness/demo.py
+++ b/libs/harness/src/filbertlift_harness/demo.py
@@ -19,6 +19,7 @@
 from filbertlift_harness import traffic
 from filbertlift_harness import trees
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 _RATE = 60.0
 _BEFORE_S = 5.0
@@ -140,7 +141,7 @@
     await deployment.pages.sleep(3.0)
     before = await control.sample(deployment)
     idle = control.ControlRate.between(idle_before, before)
-    steps = [load.RateStep(0.0, _RATE)]
+    steps = [schedule.RateStep(0.0, _RATE)]
     calls = traffic.start_traffic(deployment, tree, steps, math.inf, seed=1)
     await deployment.pages.sleep(_BEFORE_S)
     trees.hand_over(topology, tree)
--- a/libs/harness/src/filbertlift_harness/disturbances.py
+++ b/libs/harness/src/filbertlift_harness/disturbances.py
@@ -14,14 +14,14 @@
 from filbertlift_harness import traffic
 from filbertlift_harness import trees
 from filbertlift_standins import client
-from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 # A version must keep a witness: with more nodes down at a time all witnesses
 # of a new version could be lost together, which the design does not cover.
 _MAX_DOWN = 2
 _STOP_S = 40.0
 _ALLOWED_STATUSES = (env.EXIT_OK, env.EXIT_CONFLICT, env.EXIT_UNKNOWN)
-_DOWNLOAD = load.Operation(
+_DOWNLOAD = schedule.Operation(
     "long",
     "GET",
     "/papers/manifests/1",
@@ -68,6 +68,7 @@
             "publish": self._publish,
             "race": self._race,
             "planned_stop": self._planned_stop,
+            "lose_data_centre": self._lose_data_centre,
         }
 
     async def carry_out(self, step: steps.Step) -> None:
@@ -228,6 +229,23 @@
             [self._publish_tree(self._tree), self._publish_tree(rival)]
         )
 
+    async def _lose_data_centre(self, step: steps.Step) -> None:
+        """Kills every node of a data centre and starts all at once."""
+        if self._killed or self._paused:
+            return
+        place = self._find(step).place
+        names = [
+            spec.node_name
+            for spec in self._deployment.nodes
+            if spec.place == place
+        ]
+        for name in names:
+            self._deployment.kill(name)
+        self._killed += names
+        await self._deployment.pages.sleep(step.seconds)
+        await pages.gather([self._deployment.restart(name) for name in names])
+        self._killed.clear()
+
     async def _planned_stop(self, step: steps.Step) -> None:
         """Stops a node under a download, which must still arrive whole."""
         await self.heal()
@@ -237,7 +255,9 @@
         process = deployment.processes[spec.node_name]
         running = traffic.make_load(deployment, self._tree)
         number = next(self._numbers)
-        download = load.Planned(0.0, _DOWNLOAD, spec.listen, f"stop{number}-1")
+        download = schedule.Planned(
+            0.0, _DOWNLOAD, spec.listen, f"stop{number}-1"
+        )
         result = running.start(iter([download]))
         await deployment.pages.sleep(0.7)
         process.send_signal(15)
--- a/libs/harness/src/filbertlift_harness/figures.py
+++ b/libs/harness/src/filbertlift_harness/figures.py
@@ -28,6 +28,12 @@
     return [r for r in records if from_s <= r.planned.at_s < to_s]
 
 
+def is_in_time(record: load.CallRecord) -> bool:
+    """Returns whether a call was answered whole within its deadline."""
+    deadline_s = record.planned.operation.deadline_ms / 1000
+    return record.outcome == "done" and record.latency_s <= deadline_s
+
+
 def summarise_classes(
     name: str, records: list[load.CallRecord], **pairs: Any
 ) -> list[str]:
--- a/libs/harness/src/filbertlift_harness/pressure.py
+++ b/libs/harness/src/filbertlift_harness/pressure.py
@@ -12,17 +12,18 @@
 from filbertlift_harness import topology as topologies
 from filbertlift_harness import traffic
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 _POLICIES = ("filbertlift", "fifo")
 _ROUNDS = 2
 _DRAIN_S = 30.0
-_CHECK = load.Operation.parse(
+_CHECK = schedule.Operation.parse(
     "check=GET /desk/checks;share=0.1;work_ms=20;deadline_ms=1000"
 )
-_COUNTER = load.Operation.parse(
+_COUNTER = schedule.Operation.parse(
     "counter=GET /desk/slots;share=0.75;work_ms=100;deadline_ms=2000"
 )
-_LONG = load.Operation.parse(
+_LONG = schedule.Operation.parse(
     "long=GET /desk/batches;share=0.15;work_ms=1000;deadline_ms=20000"
 )
 # Four targets with six slots; the mix takes 0.227 s a call on average, so
@@ -35,24 +36,24 @@
 _TAIL_S = 4.0
 
 
-def make_crest() -> list[load.RateStep]:
+def make_crest() -> list[schedule.RateStep]:
     """Returns rates that rise ten times within 2 s, hold and fall again."""
     parts = 10
     rise = (_PEAK_RATE - _BASE_RATE) / parts
     up = [
-        load.RateStep(
+        schedule.RateStep(
             _RAMP_AT_S + _RAMP_S * part / parts, _BASE_RATE + rise * (part + 1)
         )
         for part in range(parts)
     ]
     fall_at_s = _RAMP_AT_S + _RAMP_S + _HOLD_S
     down = [
-        load.RateStep(
+        schedule.RateStep(
             fall_at_s + _RAMP_S * part / parts, _PEAK_RATE - rise * (part + 1)
         )
         for part in range(parts)
     ]
-    return [load.RateStep(0.0, _BASE_RATE), *up, *down]
+    return [schedule.RateStep(0.0, _BASE_RATE), *up, *down]
 
 
 async def measure_crest(reactor: Any) -> list[str]:
@@ -66,7 +67,7 @@
             reactor, policy, operations, make_crest(), duration_s, number // 2
         )
         during = figures.select(records, *peak)
-        done = [r for r in during if r.outcome == "done"]
+        done = [r for r in during if figures.is_in_time(r)]
         lines.append(
             figures.format_figures(
                 "crest",
@@ -86,10 +87,10 @@
 
 async def measure_blocking(reactor: Any) -> list[str]:
     """Returns times of short calls while long work is offered."""
-    short = load.Operation.parse(
+    short = schedule.Operation.parse(
         "counter=GET /desk/slots;work_ms=20;deadline_ms=5000"
     )
-    long = load.Operation.parse(
+    long = schedule.Operation.parse(
         "long=GET /desk/batches;work_ms=2000;deadline_ms=60000"
     )
     slots, short_rate = 24, 30.0
@@ -98,7 +99,7 @@
         for share in (0.0, 0.5, 1.0):
             long_rate = share * slots / 2.0
             mixed = _weigh(short, short_rate) + _weigh(long, long_rate)
-            steps = [load.RateStep(0.0, short_rate + long_rate)]
+            steps = [schedule.RateStep(0.0, short_rate + long_rate)]
             records = await _run(
                 reactor, policy, mixed, steps, 14.0, number // 2
             )
@@ -114,7 +115,7 @@
 
 async def measure_slow(reactor: Any) -> list[str]:
     """Returns times before and while one of four targets is slowed."""
-    counter = load.Operation.parse(
+    counter = schedule.Operation.parse(
         "counter=GET /desk/slots;work_ms=30;deadline_ms=5000"
     )
     lines = []
@@ -123,7 +124,7 @@
             reactor,
             policy,
             (counter,),
-            [load.RateStep(0.0, 100.0)],
+            [schedule.RateStep(0.0, 100.0)],
             20.0,
             number // 2,
             slow_at_s=8.0,
@@ -144,8 +145,8 @@
 
 
 def _weigh(
-    operation: load.Operation, rate: float
-) -> tuple[load.Operation, ...]:
+    operation: schedule.Operation, rate: float
+) -> tuple[schedule.Operation, ...]:
     if rate == 0:
         return ()
     return (topologies.with_share(operation, rate),)
@@ -154,8 +155,8 @@
 async def _run(
     reactor: Any,
     policy: str,
-    operations: tuple[load.Operation, ...],
-    steps: list[load.RateStep],
+    operations: tuple[schedule.Operation, ...],
+    steps: list[schedule.RateStep],
     duration_s: float,
     seed: int,
     slow_at_s: float | None = None,
--- a/libs/harness/src/filbertlift_harness/soak.py
+++ b/libs/harness/src/filbertlift_harness/soak.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+import attrs
 from twisted.internet import defer
 from twisted.internet import task
 import typer
@@ -21,6 +22,7 @@
 from filbertlift_harness import trees
 from filbertlift_harness import versions
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 _RATE = 30.0
 _CLEAN_S = 5.0
@@ -36,6 +38,18 @@
     print(text, flush=True)
 
 
+def lengthen(
+    operations: tuple[schedule.Operation, ...],
+) -> list[schedule.Operation]:
+    """Returns operations that take longer, so that faults meet running ones."""
+    return [
+        attrs.evolve(
+            operation, work_ms=min(400.0, (operation.work_ms or 0.0) * 20)
+        )
+        for operation in operations
+    ]
+
+
 class VersionPoller:
     """Feeds the version checker while the run lasts."""
 
@@ -96,7 +110,7 @@
     deployment: deployments.Deployment, tree: trees.Tree, seed: int
 ) -> tuple[list[load.CallRecord], list[str]]:
     """Sends calls after all faults ended; nearly all must be answered."""
-    rates = [load.RateStep(0.0, _RATE)]
+    rates = [schedule.RateStep(0.0, _RATE)]
     calls = traffic.start_traffic(deployment, tree, rates, _CLEAN_S, seed)
     await deployment.pages.sleep(_CLEAN_S + 0.5)
     records = await calls.finish(30.0)
@@ -115,8 +129,15 @@
     await runs.start_all(deployment, tree)
     poller = VersionPoller(deployment)
     poller.start()
-    rates = [load.RateStep(0.0, _RATE)]
-    calls = traffic.start_traffic(deployment, tree, rates, math.inf, seed)
+    calls = traffic.start_traffic(
+        deployment,
+        tree,
+        [schedule.RateStep(0.0, _RATE)],
+        math.inf,
+        seed,
+        lengthen(deployment.topology.operations),
+        attempts=3,
+    )
     disturber = disturbances.Disturber(deployment, tree)
     plan = steps.draw_steps(random.Random(seed), count, len(deployment.nodes))
     for number, step in enumerate(plan):
--- a/libs/harness/src/filbertlift_harness/steps.py
+++ b/libs/harness/src/filbertlift_harness/steps.py
@@ -23,7 +23,8 @@
     "restart_target": 2,
     "publish": 5,
     "race": 3,
-    "planned_stop": 2,
+    "planned_stop": 3,
+    "lose_data_centre": 2,
 }
 _OUTAGES = ("refuse", "unavailable", "hang")
 _DIRECTIONS = ("both", "out", "in")
--- a/libs/harness/src/filbertlift_harness/topology.py
+++ b/libs/harness/src/filbertlift_harness/topology.py
@@ -3,7 +3,7 @@
 import attrs
 
 from filbertlift_core import model
-from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 
 @attrs.frozen
@@ -51,7 +51,7 @@
     places: tuple[model.Place, ...]
     services: tuple[ServicePlan, ...]
     caller: str
-    operations: tuple[load.Operation, ...]
+    operations: tuple[schedule.Operation, ...]
     move: RecordMove
     delay_ms: float = 20.0
     rate_mbps: float = 30.0
@@ -77,11 +77,13 @@
     )
 
 
-def _operation(text: str) -> load.Operation:
-    return load.Operation.parse(text)
+def _operation(text: str) -> schedule.Operation:
+    return schedule.Operation.parse(text)
 
 
-def with_share(operation: load.Operation, share: float) -> load.Operation:
+def with_share(
+    operation: schedule.Operation, share: float
+) -> schedule.Operation:
     """Returns the operation with another weight."""
     return attrs.evolve(operation, share=share)
 
@@ -107,7 +109,7 @@
 
 
 def make_desk(
-    operations: tuple[load.Operation, ...], targets: int = 4, other: int = 0
+    operations: tuple[schedule.Operation, ...], targets: int = 4, other: int = 0
 ) -> Topology:
     """Returns one service in one data centre, for calls.
 
--- a/libs/harness/src/filbertlift_harness/traffic.py
+++ b/libs/harness/src/filbertlift_harness/traffic.py
@@ -11,6 +11,7 @@
 from filbertlift_harness import trees
 from filbertlift_standins import client
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 _numbers = itertools.count(1)
 
@@ -41,25 +42,39 @@
 
 
 def make_load(
-    deployment: deployments.Deployment, tree: trees.Tree
+    deployment: deployments.Deployment,
+    tree: trees.Tree,
+    repeat: load.Repeat = load.repeat_nothing,
 ) -> load.Load:
     """Returns a load that sends with the token of the tree."""
     sender = client.Client(deployment.reactor, connections=60)
-    return load.Load(deployment.reactor, sender, tree.token)
+    return load.Load(deployment.reactor, sender, tree.token, repeat)
 
 
 def start_traffic(
     deployment: deployments.Deployment,
     tree: trees.Tree,
-    steps: list[load.RateStep],
+    steps: list[schedule.RateStep],
     duration_s: float,
     seed: int,
-    operations: list[load.Operation] | None = None,
+    operations: list[schedule.Operation] | None = None,
+    attempts: int = 1,
 ) -> Traffic:
-    """Starts calls through every node, each with the same share."""
+    """Starts calls through every node, each with the same share.
+
+    Args:
+        deployment: where to.
+        tree: whose token to use.
+        steps: rates by time.
+        duration_s: seconds of load.
+        seed: seed of the schedule.
+        operations: calls to make; those of the topology if None.
+        attempts: attempts of a keyed call that was not done.
+    """
     rng = random.Random(seed)
-    running = make_load(deployment, tree)
-    schedule = load.plan_calls(
+    repeat = load.make_repeat(deployment.entries, attempts, random.Random(seed))
+    running = make_load(deployment, tree, repeat)
+    planned = schedule.plan_calls(
         rng,
         f"t{next(_numbers)}",
         steps,
@@ -68,7 +83,7 @@
         deployment.entries,
     )
     started_at_s = deployment.reactor.seconds()
-    return Traffic(running, started_at_s, running.start(schedule))
+    return Traffic(running, started_at_s, running.start(planned))
 
 
 def read_totals(
--- a/libs/harness/tests/test_oracle.py
+++ b/libs/harness/tests/test_oracle.py
@@ -7,20 +7,21 @@
 from filbertlift_harness import oracle
 from filbertlift_harness import topology
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
-BOOKING = load.Operation("booking", "POST", "/confirm/bookings")
-STATUS = load.Operation("counter", "GET", "/desk/status")
-PARTNER = load.Operation("partner", "POST", "/papers/partners/mokau/{n}")
+BOOKING = schedule.Operation("booking", "POST", "/confirm/bookings")
+STATUS = schedule.Operation("counter", "GET", "/desk/status")
+PARTNER = schedule.Operation("partner", "POST", "/papers/partners/mokau/{n}")
 
 
 def record(
     request_id: str,
     outcome: str,
-    operation: load.Operation = BOOKING,
+    operation: schedule.Operation = BOOKING,
     at_s: float = 0.0,
 ) -> load.CallRecord:
     entry = model.Address("127.0.0.1", 1)
-    planned = load.Planned(at_s, operation, entry, request_id)
+    planned = schedule.Planned(at_s, operation, entry, request_id)
     return load.CallRecord(planned, outcome, 200, 0.1, "", "", 1.0)
 
 
--- a/libs/standins/src/filbertlift_standins/caller.py
+++ b/libs/standins/src/filbertlift_standins/caller.py
@@ -16,6 +16,7 @@
 from filbertlift_core import model
 from filbertlift_standins import client
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 
 @attrs.frozen
@@ -96,14 +97,14 @@
     rng = random.Random(seed)
     try:
         entries = [model.Address.parse(text) for text in entry]
-        operations = [load.Operation.parse(text) for text in operation]
-        rates = load.RateStep.parse_list(steps or f"0:{rate}")
+        operations = [schedule.Operation.parse(text) for text in operation]
+        rates = schedule.RateStep.parse_list(steps or f"0:{rate}")
     except (ValueError, exceptions.ModelError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(env.EXIT_USAGE) from error
     run_load = load.Load(reactor, client.Client(reactor, connections), token)
     prefix = f"c{rng.getrandbits(32):08x}"
-    schedule = load.plan_calls(
+    planned = schedule.plan_calls(
         rng, prefix, rates, duration_s, operations, entries
     )
 
@@ -117,7 +118,7 @@
         typer.echo(f"calls={len(records)} cpu_us_per_call={cost_us:.0f}")
         reactor.stop()
 
-    result = run_load.start(schedule)
+    result = run_load.start(planned)
     result.addCallback(report)
     reactor.run()
 
--- a/libs/standins/src/filbertlift_standins/load.py
+++ b/libs/standins/src/filbertlift_standins/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load: a fixed schedule of calls, and what came of each."""
+"""Open-loop load: sends the calls of a schedule and records each end."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -13,93 +13,14 @@
 from filbertlift_core import model
 from filbertlift_standins import client
 from filbertlift_standins import content
+from filbertlift_standins import schedule as schedules
 
+# Pause of a caller before it repeats a call.
+_REPEAT_PAUSE_S = 0.3
 # Grace after a call's deadline before the caller itself gives up.
 _GRACE_S = 3.0
 
 
-@attrs.frozen
-class Operation:
-    """One kind of call.
-
-    Attributes:
-        work_class: class under which the results are counted.
-        method: HTTP method.
-        path: path with the service first; `{n}` becomes the call's number.
-        share: weight among the operations.
-        work_ms: time that the target takes; None leaves it to the target.
-        answer_bytes: bytes of a download; 0 for a short answer.
-        body_bytes: bytes of the request's body.
-        keyed: whether the call carries an idempotency key.
-        deadline_ms: deadline sent with the call; 0 for none.
-    """
-
-    work_class: str
-    method: str
-    path: str
-    share: float = 1.0
-    work_ms: float | None = None
-    answer_bytes: int = 0
-    body_bytes: int = 0
-    keyed: bool = False
-    deadline_ms: int = 5000
-
-    @classmethod
-    def parse(cls, text: str) -> "Operation":
-        """Returns the operation written as in this example.
-
-        `counter=GET /enquiry-desk/status;share=0.8;work_ms=5`
-
-        Raises:
-            ValueError: if the text has another form.
-        """
-        first, *options = text.split(";")
-        work_class, _, operation = first.partition("=")
-        method, _, path = operation.partition(" ")
-        if not path.startswith("/"):
-            raise ValueError(f"{first!r} is not like 'counter=GET /path'")
-        values: dict[str, Any] = {}
-        kinds = {"share": float, "work_ms": float, "keyed": int}
-        for option in options:
-            name, _, value = option.partition("=")
-            values[name] = kinds.get(name, int)(value)
-        try:
-            return cls(work_class, method, path, **values)
-        except TypeError as error:
-            raise ValueError(f"{text!r} has an unknown option") from error
-
-
-@attrs.frozen
-class RateStep:
-    """From `at_s` on, calls are sent at `rate` a second."""
-
-    at_s: float
-    rate: float
-
-    @classmethod
-    def parse_list(cls, text: str) -> "list[RateStep]":
-        """Returns the steps written as `0:100,5:1000,7:100`.
-
-        Raises:
-            ValueError: if the text has another form.
-        """
-        steps = []
-        for part in text.split(","):
-            at_s, _, rate = part.partition(":")
-            steps.append(cls(float(at_s), float(rate)))
-        return sorted(steps, key=lambda step: step.at_s)
-
-
-@attrs.frozen
-class Planned:
-    """One call of the schedule."""
-
-    at_s: float
-    operation: Operation
-    entry: model.Address
-    request_id: str
-
-
 @attrs.frozen
 class CallRecord:
     """What the caller learned of one call.
@@ -115,7 +36,7 @@
         ended_at_s: seconds from the start of the load to the end.
     """
 
-    planned: Planned
+    planned: schedules.Planned
     outcome: str
     status: int
     latency_s: float
@@ -124,31 +45,38 @@
     ended_at_s: float
 
 
-def plan_calls(
-    rng: random.Random,
-    prefix: str,
-    steps: list[RateStep],
-    duration_s: float,
-    operations: list[Operation],
-    entries: list[model.Address],
-) -> Iterator[Planned]:
-    """Yields the schedule; the same seed yields the same schedule."""
-    weights = [operation.share for operation in operations]
-    at_s = 0.0
-    number = 0
-    while True:
-        rate = [step.rate for step in steps if step.at_s <= at_s][-1]
-        at_s += rng.expovariate(rate)
-        if at_s >= duration_s:
-            return
-        operation = rng.choices(operations, weights)[0]
-        entry = rng.choice(entries)
-        yield Planned(at_s, operation, entry, f"{prefix}-{number}")
-        number += 1
+# Returns the next attempt of a call that ended, or None.
+Repeat = Callable[[CallRecord], schedules.Planned | None]
+
+
+def repeat_nothing(_record: CallRecord) -> schedules.Planned | None:
+    """Makes one attempt of each call."""
+    return None
+
+
+def make_repeat(
+    entries: list[model.Address], attempts: int, rng: random.Random
+) -> Repeat:
+    """Returns a repeat of keyed calls that were not done, at any entry."""
+
+    def repeat(record: CallRecord) -> schedules.Planned | None:
+        planned = record.planned
+        if record.outcome not in ("not-run", "unknown"):
+            return None
+        if not planned.operation.keyed or planned.attempt >= attempts:
+            return None
+        return attrs.evolve(
+            planned,
+            entry=rng.choice(entries),
+            attempt=planned.attempt + 1,
+            doubtful=record.outcome == "unknown",
+        )
+
+    return repeat
 
 
 def judge_response(
-    planned: Planned,
+    planned: schedules.Planned,
     body: bytes,
     check: content.ContentCheck | None,
     response: client.Response,
@@ -173,21 +101,21 @@
         clock: Any,
         sender: client.Client,
         token: str = "",
-        on_record: Callable[[CallRecord], None] | None = None,
+        repeat: Repeat = repeat_nothing,
     ) -> None:
         self.records: list[CallRecord] = []
         self.in_flight = 0
         self.clock = clock
         self._sender = sender
         self._token = token
-        self._on_record = on_record or self.records.append
-        self._schedule: Iterator[Planned] = iter(())
+        self._repeat = repeat
+        self._schedule: Iterator[schedules.Planned] = iter(())
         self._started_at = 0.0
         self._ended = False
         self._result: defer.Deferred[list[CallRecord]] = defer.Deferred()
 
     def start(
-        self, schedule: Iterator[Planned]
+        self, schedule: Iterator[schedules.Planned]
     ) -> "defer.Deferred[list[CallRecord]]":
         """Sends every call of the schedule.
 
@@ -203,8 +131,11 @@
         """Sends no further call; calls in flight still end."""
         self._schedule = iter(())
 
-    def send(self, planned: Planned) -> None:
-        """Sends one call now."""
+    def _begin(self, planned: schedules.Planned) -> None:
+        self.in_flight += 1
+        self._send(planned)
+
+    def _send(self, planned: schedules.Planned) -> None:
         operation = planned.operation
         headers = {"Request-Id": planned.request_id}
         if self._token:
@@ -213,6 +144,8 @@
             headers["Work-Ms"] = f"{operation.work_ms:g}"
         if operation.keyed:
             headers["Idempotency-Key"] = planned.request_id
+        if planned.attempt > 1:
+            headers["Filbertlift-Attempt"] = str(planned.attempt)
         if operation.deadline_ms:
             headers["Filbertlift-Deadline-Ms"] = str(operation.deadline_ms)
         number = planned.request_id.rpartition("-")[2]
@@ -224,7 +157,6 @@
             check = content.ContentCheck(planned.request_id)
         body = planned.request_id.encode().ljust(operation.body_bytes, b".")
         body = body if operation.body_bytes else b""
-        self.in_flight += 1
         result = self._sender.request(
             planned.entry,
             operation.method,
@@ -245,7 +177,7 @@
         elapsed = self.clock.seconds() - self._started_at
         for planned in self._schedule:
             if planned.at_s <= elapsed:
-                self.send(planned)
+                self._begin(planned)
                 continue
             self.clock.callLater(
                 planned.at_s - elapsed, self._send_planned, planned
@@ -254,14 +186,14 @@
         self._ended = True
         self._finish()
 
-    def _send_planned(self, planned: Planned) -> None:
-        self.send(planned)
+    def _send_planned(self, planned: schedules.Planned) -> None:
+        self._begin(planned)
         self._send_next()
 
     def _receive(
         self,
         response: client.Response,
-        planned: Planned,
+        planned: schedules.Planned,
         body: bytes,
         check: content.ContentCheck | None,
     ) -> None:
@@ -270,7 +202,9 @@
         call = response.headers.get("filbertlift-call", "")
         self._record(planned, outcome, response.status, code, call)
 
-    def _fail(self, reason: failure.Failure, planned: Planned) -> None:
+    def _fail(
+        self, reason: failure.Failure, planned: schedules.Planned
+    ) -> None:
         error = reason.value
         if not isinstance(error, client.RequestError):
             reason.raiseException()
@@ -279,14 +213,27 @@
         self._record(planned, outcome, 0, why, "")
 
     def _record(
-        self, planned: Planned, outcome: str, status: int, code: str, call: str
+        self,
+        planned: schedules.Planned,
+        outcome: str,
+        status: int,
+        code: str,
+        call: str,
     ) -> None:
+        if planned.doubtful and outcome == "not-run":
+            # Only this attempt certainly did not run.
+            outcome = "unknown"
         now_s = self.clock.seconds() - self._started_at
         latency_s = now_s - planned.at_s
-        self.in_flight -= 1
-        self._on_record(
-            CallRecord(planned, outcome, status, latency_s, code, call, now_s)
+        record = CallRecord(
+            planned, outcome, status, latency_s, code, call, now_s
         )
+        following = self._repeat(record)
+        if following is not None:
+            self.clock.callLater(_REPEAT_PAUSE_S, self._send, following)
+            return
+        self.in_flight -= 1
+        self.records.append(record)
         self._finish()
 
     def _finish(self) -> None:
--- a/libs/standins/tests/test_load.py
+++ b/libs/standins/tests/test_load.py
@@ -12,10 +12,11 @@
 from filbertlift_standins import client
 from filbertlift_standins import content
 from filbertlift_standins import load
+from filbertlift_standins import schedule
 
 ENTRY = model.Address("127.0.0.1", 1)
-SHORT = load.Operation.parse("counter=GET /desk/{n};share=0.5;work_ms=2")
-LONG = load.Operation("long", "GET", "/archive", answer_bytes=10)
+SHORT = schedule.Operation.parse("counter=GET /desk/{n};share=0.5;work_ms=2")
+LONG = schedule.Operation("long", "GET", "/archive", answer_bytes=10)
 
 
 class FakeClient(client.Client):
@@ -31,12 +32,12 @@
         return self.results[-1]
 
 
-def plan(seed: int, steps: str, duration_s: float) -> list[load.Planned]:
+def plan(seed: int, steps: str, duration_s: float) -> list[schedule.Planned]:
     return list(
-        load.plan_calls(
+        schedule.plan_calls(
             random.Random(seed),
             "c",
-            load.RateStep.parse_list(steps),
+            schedule.RateStep.parse_list(steps),
             duration_s,
             [SHORT, LONG],
             [ENTRY],
@@ -82,15 +83,31 @@
     status: int, told: str, answer: bytes, outcome: str
 ) -> None:
     """Guards against a wrong or cut answer that is counted as whole."""
-    planned = load.Planned(0, SHORT, ENTRY, "c-1")
+    planned = schedule.Planned(0, SHORT, ENTRY, "c-1")
     headers = {"filbertlift-outcome": told}
     response = client.Response(status, headers, answer)
     assert load.judge_response(planned, b"", None, response) == outcome
 
 
 def test_short_download_is_wrong() -> None:
-    planned = load.Planned(0, LONG, ENTRY, "c-1")
+    planned = schedule.Planned(0, LONG, ENTRY, "c-1")
     check = content.ContentCheck("c-1")
     check.feed(content.make_block("c-1", 0)[:9])
     response = client.Response(200, {}, b"")
     assert load.judge_response(planned, b"", check, response) == "wrong"
+
+
+def test_repeat_keeps_the_doubt_of_the_first_attempt() -> None:
+    """Guards against "not run" for a call whose first attempt may have run."""
+    clock, fake = task.Clock(), FakeClient()
+    repeat = load.make_repeat([ENTRY], 2, random.Random(1))
+    keyed = schedule.Operation("booking", "POST", "/b", keyed=True)
+    call = schedule.Planned(0.0, keyed, ENTRY, "c-1")
+    done = load.Load(clock, fake, repeat=repeat).start(iter([call]))
+    fake.results[0].errback(client.RequestError("timeout"))
+    clock.advance(1)
+    assert fake.sent[1][3]["Filbertlift-Attempt"] == "2"
+    assert fake.sent[1][3]["Idempotency-Key"] == "c-1"
+    told = {"filbertlift-outcome": "not-run"}
+    fake.results[1].callback(client.Response(503, told, b""))
+    assert [record.outcome for record in done.result] == ["unknown"]
