--- a/libs/standins/tests/test_link.py
+++ b/libs/standins/tests/test_link.py
@@ -6,6 +6,7 @@
 from twisted.internet import testing
 
 from filbertlift_standins import link
+from filbertlift_standins import tunnels
 
 
 class Half(testing.StringTransport):
@@ -23,7 +24,7 @@
 
     def __init__(self, state: link.Link, reactor: Any, outward: bool) -> None:
         self.near, self.far = Half(), Half()
-        entrance = link.EntranceFactory(state, outward).buildProtocol(None)
+        entrance = tunnels.EntranceFactory(state, outward).buildProtocol(None)
         self.entrance = entrance
         entrance.makeConnection(self.near)
         entrance.dataReceived(b"CONNECT 127.0.0.1:9 HTTP/1.1\r\n\r\nearly")
@@ -46,7 +47,7 @@
     assert tunnel.far.value() == b"early"
     reactor.advance(0.2)
     assert tunnel.far.value() == b"early" + b"x" * 995
-    assert tunnel.near.value() == link._TUNNEL_OPEN
+    assert tunnel.near.value() == tunnels.TUNNEL_OPEN
     assert state.count()["bytes_out"] == 1000
 
 
@@ -76,7 +77,7 @@
     assert old.near.aborted
     assert old.far.aborted
     new = Half()
-    link.EntranceFactory(state, True).buildProtocol(None).makeConnection(new)
+    tunnels.EntranceFactory(state, True).buildProtocol(None).makeConnection(new)
     assert new.aborted
 
 
--- a/libs/standins/tests/test_store.py
+++ b/libs/standins/tests/test_store.py
@@ -6,14 +6,14 @@
 import pytest
 from twisted.internet import task
 
-from filbertlift_standins import store
+from filbertlift_standins import store_state
 from filbertlift_standins import web
 
 
 @pytest.fixture
 def parts(make_client: Any) -> Any:
     clock = task.Clock()
-    state = store.Store(clock, random.Random(1))
+    state = store_state.Store(clock, random.Random(1))
     server = web.Server(state.handle)
     return clock, state, lambda: make_client(server)
 
