--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -97,7 +97,7 @@
         self._reader.max_body_bytes = 0
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
-        self._output: outputs.Output
+        self.output: outputs.Output
         self._last_received = reactor.seconds()
         self._heartbeat_call: Any = None
         self._silence_call: Any = None
@@ -146,13 +146,13 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Starts the greeting, through the proxy's tunnel if there is one."""
-        self._output = outputs.Output(self.transport, self._flush)
+        self.output = outputs.Output(self.transport, self._flush)
         self._last_received = self._reactor.seconds()
         self._silence_call = self._reactor.callLater(
             SILENCE_LIMIT_S, self._check_silence
         )
         if self._tunnel is not None:
-            self._output.write(self._tunnel.make_request())
+            self.output.write(self._tunnel.make_request())
             return
         self._state.connect()
 
@@ -162,7 +162,10 @@
         try:
             if self._tunnel is not None:
                 data = self._receive_tunnel(data)
-            for message in self._reader.feed(data):
+            found = self._reader.feed(data)
+            self.counters.received_control = self._reader.control_bytes
+            self.counters.received_calls = self._reader.call_bytes
+            for message in found:
                 self._receive(message)
         except wire_exceptions.WireError as error:
             self._state.fail(exceptions.LinkError("malformed", str(error)))
@@ -201,7 +204,7 @@
 
     def _disconnect(self, error: exceptions.LinkError) -> None:
         if error.reason == "closed" and not self._unsent:
-            self._output.close()
+            self.output.close()
             return
         self.transport.abortConnection()
 
@@ -308,8 +311,8 @@
         )
 
     def _write(self, data: bytes) -> None:
-        if not self._output.is_full:
-            self._output.write(data)
+        if not self.output.is_full:
+            self.output.write(data)
             return
         self._unsent.append(data)
         self._unsent_bytes += len(data)
@@ -323,7 +326,7 @@
         self._unsent.clear()
         self._unsent_bytes = 0
         if data:
-            self._output.write(data)
+            self.output.write(data)
 
 
 class LinkListener:
--- a/libs/transport/src/filbertlift_transport/responses.py
+++ b/libs/transport/src/filbertlift_transport/responses.py
@@ -40,6 +40,7 @@
         self.keeps_alive = False
         self._max_head_bytes = max_head_bytes
         self._head_bytes = 0
+        self._received_bytes = 0
         self._headers: list[http.Header] = []
         self._length: int | None = None
         self._is_chunked = False
@@ -51,7 +52,7 @@
         self.has_head = False
         self.is_complete = False
         self.keeps_alive = False
-        self._head_bytes = 0
+        self._received_bytes = 0
         self._call = call
 
     def feed(self, data: bytes) -> None:
@@ -62,7 +63,18 @@
         """
         if not self.has_head:
             # Bounds an unfinished header line, which the parser holds.
-            self._head_bytes += len(data)
+            self._received_bytes += len(data)
+        try:
+            self._parse(data)
+        except ResponseError:
+            if not self.is_complete:
+                raise
+            # The answer is whole; only what follows it cannot be used.
+            self.keeps_alive = False
+        if not self.has_head and self._received_bytes > self._max_head_bytes:
+            raise _refuse_head()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -75,8 +87,6 @@
             httptools.HttpParserUpgrade,
         ) as error:
             raise ResponseError("malformed", str(error)) from error
-        if not self.has_head and self._head_bytes > self._max_head_bytes:
-            raise ResponseError("head-too-large", "response head too large")
 
     # Callbacks of httptools.
 
@@ -84,6 +94,7 @@
         """A response starts."""
         if self.is_complete:
             raise ResponseError("malformed", "more than one response")
+        self._head_bytes = 0
         self._headers = []
         self._length = None
         self._is_chunked = False
@@ -92,6 +103,9 @@
         """A header, or a trailer, which is left out."""
         if self.has_head:
             return
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > self._max_head_bytes:
+            raise _refuse_head()
         key = name.decode("latin-1")
         text = value.decode("latin-1")
         lower = key.lower()
@@ -133,3 +147,7 @@
             return
         self.is_complete = True
         self.keeps_alive = self._parser.should_keep_alive()
+
+
+def _refuse_head() -> ResponseError:
+    return ResponseError("head-too-large", "response head is too large")
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -114,7 +114,9 @@
 
     def stop_when_idle(self) -> None:
         """Closes now when idle, else after the answer under way."""
-        if self._reply is None and not self._waiting:
+        if self._reply is not None:
+            self._reply.close_after()
+        elif not self._waiting:
             self._close()
 
     @property
