Join the head of a stream with its body and let refused callers read why

A refused caller that still sent its body got a reset instead of the 413, because closing with unread bytes makes its kernel discard the answer.

--- a/libs/transport/src/filbertlift_transport/outputs.py
+++ b/libs/transport/src/filbertlift_transport/outputs.py
@@ -52,6 +52,11 @@
         self._transport.unregisterProducer()
         self._transport.loseConnection()
 
+    def close_sending(self) -> None:
+        """Ends what is sent after the bytes written; receiving goes on."""
+        self._transport.unregisterProducer()
+        self._transport.loseWriteConnection()
+
     def resumeProducing(self) -> None:  # noqa: N802
         """The transport sent everything, or the producer was registered."""
         if self.is_full:
--- a/libs/transport/src/filbertlift_transport/reply.py
+++ b/libs/transport/src/filbertlift_transport/reply.py
@@ -19,6 +19,9 @@
     transport: Any
     output: outputs.Output
 
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Calls the function at the end of this turn of the reactor."""
+
     def end_reply(self, reply: "Reply", keep: bool) -> None:
         """The answer is complete; the connection is kept or closed."""
 
@@ -44,6 +47,7 @@
     _chunked: bool = False
     _remaining: int | None = None
     _bodyless: bool = False
+    _head: bytes = b""
 
     @property
     def is_over(self) -> bool:
@@ -97,7 +101,10 @@
         else:
             self._chunked = True
             framing = "Transfer-Encoding: chunked\r\n"
-        self._connection.output.write(self._make_head(status, headers, framing))
+        # The head waits for the first part of the body to share its packet,
+        # at most until the end of this turn of the reactor.
+        self._head = self._make_head(status, headers, framing)
+        self._connection.call_soon(self._flush_head)
 
     def write(self, data: bytes) -> None:
         """Sends part of the body."""
@@ -110,7 +117,7 @@
                 return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.output.write(data)
+        self._write(data)
 
     def finish(self) -> None:
         """Ends the body; aborts when fewer bytes than declared were sent."""
@@ -119,8 +126,8 @@
         if self._remaining and not self._bodyless:
             self.abort()
             return
-        if self._chunked and not self._bodyless:
-            self._connection.output.write(b"0\r\n\r\n")
+        ends_chunks = self._chunked and not self._bodyless
+        self._write(b"0\r\n\r\n" if ends_chunks else b"")
         self._end(self._keep)
 
     def abort(self) -> None:
@@ -152,6 +159,16 @@
         reason = http.REASONS.get(status, "Status")
         return http.make_head(f"HTTP/1.1 {status} {reason}", headers, framing)
 
+    def _write(self, data: bytes) -> None:
+        data = self._head + data
+        self._head = b""
+        if data:
+            self._connection.output.write(data)
+
+    def _flush_head(self) -> None:
+        if not self._is_over:
+            self._write(b"")
+
     def _end(self, keep: bool) -> None:
         self._is_over = True
         self._connection.end_reply(self, keep)
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -20,6 +20,8 @@
 Reply = replies.Reply
 Handler = Callable[[http.Request, replies.Reply], None]
 SWEEP_INTERVAL_S = 1.0
+# Time for a refused caller to read the answer and close.
+LINGER_S = 5.0
 _JSON = (http.Header("Content-Type", "application/json"),)
 
 
@@ -38,6 +40,7 @@
         self._since = server.read_time()
         self._was_idle = True
         self._is_closing = False
+        self._is_refused = False
         self._is_reading = True
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -80,6 +83,10 @@
         if reply is not None:
             reply.drop()
 
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Calls the function at the end of this turn of the reactor."""
+        self._server.reactor.callLater(0, function)
+
     def end_reply(self, reply: replies.Reply, keep: bool) -> None:
         """The answer is complete; serves the next request or closes."""
         if reply is not self._reply:
@@ -101,7 +108,7 @@
         spent = now - self._since
         if self._is_closing:
             # The peer does not read the last answer or does not close.
-            if spent > limits.idle_s:
+            if spent >= (LINGER_S if self._is_refused else limits.idle_s):
                 self.transport.abortConnection()
         elif self._reply is not None:
             return
@@ -156,11 +163,18 @@
             connection=self, is_head=False, is_old=False, keep=False
         )
         self._reply = reply
+        # Connections over the limit are closed at once.
+        self._is_refused = status != 503
         reply.send(status, _JSON, http.make_error_body(code, message))
 
     def _close(self) -> None:
         self._is_closing = True
         self._since = self._server.read_time()
+        if self._is_refused:
+            # Closing while the caller still sends makes its kernel discard
+            # the answer, so what it sends is read and dropped for a while.
+            self.output.close_sending()
+            return
         self.output.close()
 
     def _report_drained(self) -> None:
