Let the soak test's operators settle conflicts

Change: after a conflict the operator publishes over the other's change. The codes of calls that were not done are printed.

--- a/libs/harness/src/filbertlift_harness/publishing.py
+++ b/libs/harness/src/filbertlift_harness/publishing.py
@@ -1,5 +1,6 @@
 """Publications by the operator's binary."""
 
+from collections.abc import Sequence
 import itertools
 
 import attrs
@@ -29,10 +30,17 @@
 
 
 async def publish(
-    deployment: deployments.Deployment, tree: trees.Tree
+    deployment: deployments.Deployment,
+    tree: trees.Tree,
+    replace: Sequence[str] = (),
 ) -> Publication:
     """Runs `filbertlift publish`; any exit status is returned.
 
+    Args:
+        deployment: whose store to publish to.
+        tree: the files.
+        replace: sections to publish over changes by others.
+
     Raises:
         HarnessError: if it does not end within 30 s.
     """
@@ -40,6 +48,8 @@
     flags = ["publish", str(tree.folder)]
     flags += ["--store", f"http://{deployment.store}"]
     flags += ["--cluster", deployment.topology.name]
+    for section in replace:
+        flags += ["--replace", section]
     process = processes.Process(
         deployment.reactor, name, "filbertlift_cli", flags
     )
@@ -52,14 +62,16 @@
 
 
 async def publish_accepted(
-    deployment: deployments.Deployment, tree: trees.Tree
+    deployment: deployments.Deployment,
+    tree: trees.Tree,
+    replace: Sequence[str] = (),
 ) -> Publication:
     """Runs `filbertlift publish` and requires that it is accepted.
 
     Raises:
         HarnessError: if it was not accepted.
     """
-    publication = await publish(deployment, tree)
+    publication = await publish(deployment, tree, replace)
     if publication.exit_status != 0:
         message = (
             f"publish ended with status {publication.exit_status}:"
--- a/libs/harness/src/filbertlift_harness/soak.py
+++ b/libs/harness/src/filbertlift_harness/soak.py
@@ -1,5 +1,6 @@
 """Soak test: a seeded random sequence of faults under load, with an oracle."""
 
+import collections
 import math
 import random
 from typing import Any
@@ -81,6 +82,17 @@
             )
 
 
+def count_codes(records: list[load.CallRecord]) -> dict[str, int]:
+    """Returns how often each code came with an outcome other than done."""
+    return dict(
+        collections.Counter(
+            f"{record.outcome}/{record.code}"
+            for record in records
+            if record.outcome != "done"
+        )
+    )
+
+
 async def settle(
     deployment: deployments.Deployment, tree: trees.Tree
 ) -> list[str]:
@@ -91,8 +103,9 @@
     """
     try:
         await deployment.wait_ready(_HEAL_S)
-        trees.change_queue(tree, deployment.topology.services[0].name, 999)
-        await publishing.publish_accepted(deployment, tree)
+        services = deployment.topology.service_names
+        trees.change_queue(tree, services[0], 999)
+        await publishing.publish_accepted(deployment, tree, services)
 
         async def agree() -> bool:
             found = set((await deployment.read_versions()).values())
@@ -156,6 +169,7 @@
         f"sent={verdict.sent} whole={verdict.whole} not_run={verdict.not_run}"
         f" unknown={verdict.unknown} versions={len(poller.checker.roots)}"
     )
+    report(f"codes={count_codes(records)}")
     problems += found + disturber.problems + poller.checker.problems
     return problems + verdict.list_problems()
 
--- a/libs/harness/src/filbertlift_harness/topology.py
+++ b/libs/harness/src/filbertlift_harness/topology.py
@@ -61,6 +61,11 @@
         """The regions in order, the one with the store first."""
         return list(dict.fromkeys(place.region for place in self.places))
 
+    @property
+    def service_names(self) -> list[str]:
+        """Names of the services."""
+        return [plan.name for plan in self.services]
+
     def find_place(self, data_centre: str) -> model.Place:
         """Returns the place of a data centre."""
         for place in self.places:
