--- a/libs/wire/src/filbertlift_wire/conversion.py
+++ b/libs/wire/src/filbertlift_wire/conversion.py
@@ -9,7 +9,7 @@
 import capnp
 
 from filbertlift_core import exceptions as core_exceptions
-from filbertlift_core import model
+from filbertlift_wire import converters
 from filbertlift_wire import exceptions
 from filbertlift_wire import messages
 
@@ -21,55 +21,6 @@
 TRAVERSAL_LIMIT_WORDS = 16_384
 NESTING_LIMIT = 8
 
-OUTCOMES = (model.Outcome.DONE, model.Outcome.NOT_RUN, model.Outcome.UNKNOWN)
-OUTCOME_NUMBERS = {outcome: index for index, outcome in enumerate(OUTCOMES)}
-
-
-def flatten_headers(headers: tuple[messages.Header, ...]) -> list[str]:
-    """Returns name and value of each header in turn."""
-    flat = []
-    for header in headers:
-        flat.append(header.name)
-        flat.append(header.value)
-    return flat
-
-
-def pair_headers(flat: list[str]) -> tuple[messages.Header, ...]:
-    """Returns the headers of a flat list; raises ValueError if it is odd."""
-    names = iter(flat)
-    return tuple(
-        messages.Header(name, value)
-        for name, value in zip(names, names, strict=True)
-    )
-
-
-def convert_member(member: model.Member) -> dict[str, Any]:
-    """Returns the capnp fields of a member."""
-    return {
-        "address": str(member.address),
-        "region": member.place.region,
-        "dataCentre": member.place.data_centre,
-        "service": member.service,
-        "target": str(member.target),
-        "incarnation": member.incarnation,
-        "state": int(member.state),
-        "status": str(member.status),
-    }
-
-
-def read_member(fields: dict[str, Any]) -> model.Member:
-    """Returns the member of capnp fields."""
-    parse = model.Address.parse
-    return model.Member(
-        address=parse(fields["address"]),
-        place=model.Place(fields["region"], fields["dataCentre"]),
-        service=fields["service"],
-        target=parse(fields["target"]),
-        incarnation=fields["incarnation"],
-        state=model.MemberState(fields["state"]),
-        status=parse(fields["status"]),
-    )
-
 
 @attrs.frozen
 class Field:
@@ -83,36 +34,21 @@
 
 @attrs.frozen
 class Kind:
-    """How one kind of message is written and read."""
+    """How one kind of message is written and read.
+
+    Attributes:
+        name: name in the union of `Header`.
+        record: class of the message.
+        fields: fields in the capnp header.
+        has_body: whether the raw body of the frame is the field `body`.
+    """
 
     name: str
     record: type
     fields: tuple[Field, ...]
+    has_body: bool
 
 
-_CONVERTERS: dict[str, tuple[Callable[[Any], Any], Callable[[Any], Any]]] = {
-    "headers": (flatten_headers, pair_headers),
-    "outcome": (OUTCOME_NUMBERS.__getitem__, lambda n: OUTCOMES[n]),
-    "member": (convert_member, read_member),
-    "members": (
-        lambda members: [convert_member(member) for member in members],
-        lambda members: tuple(read_member(member) for member in members),
-    ),
-    "entries": (
-        lambda entries: [
-            {"dataCentre": entry.data_centre, "digest": entry.digest}
-            for entry in entries
-        ],
-        lambda entries: tuple(
-            messages.DigestEntry(entry["dataCentre"], entry["digest"])
-            for entry in entries
-        ),
-    ),
-    "address": (str, model.Address.parse),
-    "sender": (str, model.Address.parse),
-    "about": (str, model.Address.parse),
-}
-
 # Travels in the raw body of a frame.
 _RAW_FIELD = "body"
 
@@ -124,19 +60,33 @@
 
 def make_kind(record: type) -> Kind:
     """Returns how a record is written and read."""
+    names = attrs.fields_dict(record)
     fields = []
-    for name in attrs.fields_dict(record):
+    for name in names:
         if name == _RAW_FIELD:
             continue
-        write, read = _CONVERTERS.get(name, (None, None))
+        write, read = converters.CONVERTERS.get(name, (None, None))
         fields.append(Field(name, make_wire_name(name), write, read))
-    kind = record.__name__[0].lower() + record.__name__[1:]
-    return Kind(kind, record, tuple(fields))
+    kind_name = record.__name__[0].lower() + record.__name__[1:]
+    return Kind(kind_name, record, tuple(fields), _RAW_FIELD in names)
 
 
 _RECORDS: tuple[type, ...] = (
-    *messages.Message.__args__,
-    *messages.Datagram.__args__,
+    messages.Hello,
+    messages.Welcome,
+    messages.Heartbeat,
+    messages.Notice,
+    messages.Fetch,
+    messages.Update,
+    messages.Gossip,
+    messages.Digest,
+    messages.Report,
+    messages.Reported,
+    messages.AskFloor,
+    messages.Floor,
+    messages.Ping,
+    messages.Ack,
+    messages.PingRequest,
 )
 KINDS: dict[type, Kind] = {record: make_kind(record) for record in _RECORDS}
 KINDS_BY_NAME: dict[str, Kind] = {kind.name: kind for kind in KINDS.values()}
@@ -160,15 +110,22 @@
     return fields
 
 
-def write_header(kind: Kind, values: dict[str, Any]) -> bytes:
+def encode_header(message: Any) -> bytes:
     """Returns the capnp header of a message.
 
     Raises:
         WireError: if a value does not fit its field.
     """
+    kind = KINDS[type(message)]
     try:
+        values = convert_fields(message, kind)
         return SCHEMA.Header.new_message(**{kind.name: values}).to_bytes()
-    except (capnp.KjException, ValueError, TypeError, OverflowError) as error:
+    except (
+        ValueError,
+        TypeError,
+        OverflowError,
+        capnp.KjException,
+    ) as error:
         raise exceptions.WireError("out-of-range", str(error)) from error
 
 
@@ -188,19 +145,40 @@
             kind = KINDS_BY_NAME.get(name)
             if kind is None:
                 raise exceptions.WireError("unknown-kind", name)
-            values = getattr(header, name).to_dict()
+            values = getattr(header, name).to_dict(verbose=True)
     except (capnp.KjException, ValueError) as error:
-        raise exceptions.WireError("malformed", str(error)) from error
+        # pycapnp appends a stack of addresses on further lines.
+        reason = str(error).partition("\n")[0]
+        raise exceptions.WireError("malformed", reason) from error
     return kind, values
 
 
-def build_record(kind: Kind, fields: dict[str, Any]) -> Any:
-    """Returns the message of its fields.
+def decode_header(header: bytes, body: bytes = b"") -> Any:
+    """Returns the message of a header and the raw body of its frame.
+
+    Raises:
+        WireError: if the header is malformed or has a body it must not have.
+    """
+    kind, values = read_header(header)
+    if kind.has_body:
+        return build_record(kind, values, body=body)
+    if body:
+        raise exceptions.WireError("malformed", f"{kind.name} has a body")
+    return build_record(kind, values)
+
+
+def build_record(kind: Kind, values: dict[str, Any], **raw: Any) -> Any:
+    """Returns the message of its capnp fields and its raw fields.
 
     Raises:
         WireError: if a field has a value that is not allowed.
     """
     try:
-        return kind.record(**fields)
-    except (TypeError, ValueError, core_exceptions.ModelError) as error:
+        return kind.record(**read_fields(values, kind), **raw)
+    except (
+        LookupError,
+        TypeError,
+        ValueError,
+        core_exceptions.ModelError,
+    ) as error:
         raise exceptions.WireError("malformed", str(error)) from error
