Check the nodes' logs for a return to an older version

Cause: polls every 0.3 s can miss a version that was in force between them, and a paused node delayed the polls of all others by its timeout. Change: each node is polled by itself, and at the end each log, which goes on over restarts, must not step back. Measurements print the load of the machine.

--- a/libs/harness/src/filbertlift_harness/heads.py
+++ b/libs/harness/src/filbertlift_harness/heads.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 import datetime
+import itertools
 
 import attrs
 
@@ -34,6 +35,31 @@
         return max(self.in_force_at) - self.accepted_at
 
 
+@attrs.frozen
+class InForce:
+    """One line of a node's log: a version came in force.
+
+    Attributes:
+        at: seconds since the epoch.
+        version: the version.
+    """
+
+    at: float
+    version: int
+
+
+def parse_log(lines: Iterable[str]) -> list[InForce]:
+    """Returns the versions that a log says came in force, in order."""
+    found = []
+    for line in lines:
+        pairs = dict(word.split("=", 1) for word in line.split() if "=" in word)
+        if pairs.get("event") == _EVENT:
+            moment = datetime.datetime.fromisoformat(pairs["time"])
+            version = int(pairs["version"])
+            found.append(InForce(moment.timestamp(), version))
+    return found
+
+
 def find_in_force(lines: Iterable[str], version: int) -> float | None:
     """Returns when a log first says that a version, or a newer, is in force.
 
@@ -44,16 +70,25 @@
     Returns:
         Seconds since the epoch; None when the log does not say so.
     """
-    for line in lines:
-        pairs = dict(word.split("=", 1) for word in line.split() if "=" in word)
-        if pairs.get("event") != _EVENT:
-            continue
-        if int(pairs.get("version", "0")) >= version:
-            moment = datetime.datetime.fromisoformat(pairs["time"])
-            return moment.timestamp()
+    for entry in parse_log(lines):
+        if entry.version >= version:
+            return entry.at
     return None
 
 
+def find_returns(lines: Iterable[str]) -> list[str]:
+    """Returns each step of a log from a version to an older one.
+
+    The log goes on over restarts, so a restart with an older version counts.
+    """
+    versions = [entry.version for entry in parse_log(lines)]
+    return [
+        f"version {after} after {before}"
+        for before, after in itertools.pairwise(versions)
+        if after < before
+    ]
+
+
 async def read_accepted(deployment: deployments.Deployment) -> float:
     """Returns when the store took the current head, as one call.
 
--- a/libs/harness/src/filbertlift_harness/measure.py
+++ b/libs/harness/src/filbertlift_harness/measure.py
@@ -3,7 +3,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
+import os
 import pathlib
+import platform
 from typing import Any
 
 from twisted.internet import defer
@@ -13,6 +15,7 @@
 from filbertlift_core import exceptions
 from filbertlift_harness import added
 from filbertlift_harness import convergence
+from filbertlift_harness import figures
 from filbertlift_harness import pressure
 
 Measurement = Callable[[Any], Awaitable[list[str]]]
@@ -31,6 +34,18 @@
     return pathlib.Path(__file__).resolve().parents[4] / "measurements"
 
 
+def describe_machine() -> str:
+    """Returns the line that says under which conditions a run was made."""
+    load_1, load_5, _ = os.getloadavg()
+    return figures.format_figures(
+        "machine",
+        cores=os.cpu_count(),
+        load_1_min=load_1,
+        load_5_min=load_5,
+        python=platform.python_version(),
+    )
+
+
 def save(name: str, lines: list[str]) -> None:
     """Writes the raw lines of one measurement to a file of its own."""
     folder = find_folder()
@@ -44,12 +59,14 @@
     """Runs measurements one after the other and prints their lines."""
     failed = False
     for name in names:
+        machine = describe_machine()
         try:
             lines = await MEASUREMENTS[name](reactor)
         except exceptions.FilbertliftError as error:
             print(f"measure={name} failed: {error}", flush=True)
             failed = True
             continue
+        lines = [machine, *lines]
         print("\n".join(lines), flush=True)
         if keep:
             save(name, lines)
--- a/libs/harness/src/filbertlift_harness/soak.py
+++ b/libs/harness/src/filbertlift_harness/soak.py
@@ -13,8 +13,8 @@
 from filbertlift_core import exceptions
 from filbertlift_harness import deployment as deployments
 from filbertlift_harness import disturbances
+from filbertlift_harness import heads
 from filbertlift_harness import oracle
-from filbertlift_harness import pages
 from filbertlift_harness import publishing
 from filbertlift_harness import runs
 from filbertlift_harness import steps
@@ -57,22 +57,25 @@
     def __init__(self, deployment: deployments.Deployment) -> None:
         self.checker = versions.VersionChecker()
         self._deployment = deployment
-        self._polls = task.LoopingCall(self._poll)
-        self._polls.clock = deployment.reactor
+        # One poll for each node, so that a paused one delays no other.
+        self._polls = [
+            task.LoopingCall(self._poll, spec) for spec in deployment.nodes
+        ]
 
     def start(self) -> None:
         """Begins to poll every node."""
-        self._polls.start(_POLL_S)
+        for poll in self._polls:
+            poll.clock = self._deployment.reactor
+            poll.start(_POLL_S)
 
     def stop(self) -> None:
         """Polls no more."""
-        if self._polls.running:
-            self._polls.stop()
+        for poll in self._polls:
+            if poll.running:
+                poll.stop()
 
-    def _poll(self) -> Any:
-        return defer.Deferred.fromCoroutine(
-            pages.gather([self._read(spec) for spec in self._deployment.nodes])
-        )
+    def _poll(self, spec: deployments.NodeSpec) -> Any:
+        return defer.Deferred.fromCoroutine(self._read(spec))
 
     async def _read(self, spec: deployments.NodeSpec) -> None:
         page = await disturbances.read_page(self._deployment, spec)
@@ -82,6 +85,17 @@
             )
 
 
+def check_logs(deployment: deployments.Deployment) -> list[str]:
+    """Returns every return to an older version that a log shows."""
+    problems = []
+    for spec in deployment.nodes:
+        path = deployment.folder / f"{spec.node_name}.log"
+        with open(path, encoding="utf-8", errors="replace") as log:
+            found = heads.find_returns(log)
+        problems += [f"{spec.name} logged {text}" for text in found]
+    return problems
+
+
 def count_codes(records: list[load.CallRecord]) -> dict[str, int]:
     """Returns how often each code came with an outcome other than done."""
     return dict(
@@ -171,6 +185,7 @@
     )
     report(f"codes={count_codes(records)}")
     problems += found + disturber.problems + poller.checker.problems
+    problems += check_logs(deployment)
     return problems + verdict.list_problems()
 
 
--- a/libs/harness/tests/test_heads.py
+++ b/libs/harness/tests/test_heads.py
@@ -15,3 +15,10 @@
     assert heads.find_in_force(LOG, 1) == 1.25
     assert heads.find_in_force(LOG, 2) == 3.5
     assert heads.find_in_force(LOG, 4) is None
+
+
+def test_return_after_a_restart_is_found() -> None:
+    """Guards against a node that restarts with an older version."""
+    older = "time=1970-01-01T00:00:04+00:00 event=version.in_force version=2"
+    assert heads.find_returns(LOG) == []
+    assert heads.find_returns((*LOG, older)) == ["version 2 after 3"]
