--- a/libs/calls/src/filbertlift_calls/keeper.py
+++ b/libs/calls/src/filbertlift_calls/keeper.py
@@ -1,8 +1,8 @@
 """At most once: the record of every call id at the node beside its target.
 
-The decisions rest on one property of links: a frame arrives within
-`RETENTION_S` of its sending or never, because a link that is silent for 3 s is
-closed at both ends.
+The decisions rest on one property of links: a frame arrives within `LATE_S` of
+its sending or never, because a link that is silent for 3 s is closed at both
+ends.
 """
 
 from collections import OrderedDict
@@ -16,6 +16,8 @@
 from filbertlift_calls import records
 from filbertlift_core import model
 
+# A frame arrives within this time of its sending or never, in seconds.
+LATE_S: Final = 15.0
 # How long an id is held after the deadline of its call, in seconds.
 RETENTION_S: Final = 30.0
 # How long an id that was settled as absent is held. Its deadline is not known,
@@ -39,8 +41,8 @@
     expires: float
     askers: set[str]
     code: str = codes.WITHDRAWN
-    # False after a repeat was settled here: its first attempt may have run at
-    # a process before this one.
+    # False when earlier attempts may have run: at a process before this one,
+    # or here, for an idempotent call that was forgotten or runs again.
     is_vouched: bool = True
     outcome: model.Outcome | None = None
     answer: records.KeptAnswer | None = None
@@ -110,6 +112,7 @@
                 call.fingerprint,
                 max(call.deadline, now) + RETENTION_S,
                 {call.asker},
+                is_vouched=call.attempt == 1 or not call.idempotent,
             ),
         )
         return records.Begun(call.call_id)
@@ -204,7 +207,8 @@
             return self._settle_held(inquiry, entry, now)
         if inquiry.incarnation != self.incarnation:
             return records.Settlement(call_id, records.CallState.UNKNOWN)
-        if inquiry.age_s > RETENTION_S:
+        # The question itself may be late too, and the id forgotten meanwhile.
+        if inquiry.age_s > RETENTION_S - LATE_S:
             return records.Settlement(call_id, records.CallState.UNKNOWN)
         # Without a tombstone a late frame could run after "absent" was told.
         if len(self._entries) >= self.max_entries:
@@ -276,11 +280,14 @@
         call_id = inquiry.call_id
         is_absent = entry.state is records.CallState.ABSENT
         if is_absent or entry.fingerprint != inquiry.fingerprint:
-            if inquiry.incarnation != self.incarnation:
+            is_last = is_absent and entry.attempt == inquiry.attempt
+            is_safe = entry.is_vouched or is_last
+            if inquiry.incarnation != self.incarnation or not is_safe:
                 return records.Settlement(call_id, records.CallState.UNKNOWN)
             entry.attempt = max(entry.attempt, inquiry.attempt)
             entry.expires = max(entry.expires, now + RETENTION_S)
             code = entry.code if is_absent else codes.KEY_REUSED
+            code = code if entry.is_vouched else codes.ABSENT
             return records.Settlement(call_id, records.CallState.ABSENT, code)
         entry.askers.add(inquiry.asker)
         return records.Settlement(
@@ -297,6 +304,7 @@
         entry.state = records.CallState.QUEUED
         entry.attempt = call.attempt
         entry.fingerprint = call.fingerprint
+        entry.is_vouched = entry.is_vouched and not call.idempotent
         entry.askers = {call.asker}
         entry.outcome = None
         entry.expires = max(entry.expires, call.deadline + RETENTION_S, now)
--- a/libs/calls/src/filbertlift_calls/outcomes.py
+++ b/libs/calls/src/filbertlift_calls/outcomes.py
@@ -170,6 +170,11 @@
 )
 
 
+def may_have_run(attempt: Attempt) -> bool:
+    """Returns whether an attempt that ended so may have run."""
+    return attempt.end in _UNKNOWN or attempt.end is AttemptEnd.UNKNOWN
+
+
 def decide(attempt: Attempt, call: CallFacts) -> Decision:
     """Returns what the entry does after an attempt ended."""
     if attempt.end is AttemptEnd.CALLER_GONE:
@@ -185,7 +190,7 @@
         return SettleFirst(codes.LINK_LOST)
     code = _NOT_RUN.get(attempt.end) or _UNKNOWN.get(attempt.end)
     code = code or attempt.code
-    ran = attempt.end in _UNKNOWN or attempt.end is AttemptEnd.UNKNOWN
+    ran = may_have_run(attempt)
     if _may_retry(attempt, call, code, ran):
         return RetryElsewhere(code, code not in _FREE)
     if ran:
--- a/libs/calls/src/filbertlift_calls/records.py
+++ b/libs/calls/src/filbertlift_calls/records.py
@@ -145,8 +145,8 @@
         fingerprint: hash of the request.
         incarnation: the keeper incarnation that it was sent to.
         age_s: seconds since it was sent, by the asker's clock; infinite when
-            not known. An id older than `keeper.RETENTION_S` may have been
-            forgotten, so its absence proves nothing.
+            not known. The absence of an old id proves nothing, because the
+            keeper may have forgotten it.
         asker: names the request of the entry, as in its call.
     """
 
--- a/libs/calls/tests/test_at_most_once.py
+++ b/libs/calls/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import functools
+import math
 from typing import Any
 
 import attrs
@@ -13,9 +14,11 @@
 from hypothesis import strategies as st
 
 from filbertlift_calls import admission
+from filbertlift_calls import attempts
 from filbertlift_calls import codes
 from filbertlift_calls import keeper
 from filbertlift_calls import outcomes
+from filbertlift_calls import progress
 from filbertlift_calls import records
 from filbertlift_calls import tickets
 from filbertlift_core import model
@@ -29,21 +32,11 @@
 class Request:
     """One caller's request at its entry."""
 
-    call_id: str
+    call: progress.Progress
     client_attempt: int
-    fingerprint: int
     work: model.WorkClass
-    idempotent: bool
-    keyed: bool
     entry: int
-    deadline: float
-    name: str
-    attempt: int = 1
-    host: int = 0
-    incarnation: int = 0
-    sent_at: float = 0.0
-    may_have_run: bool = False
-    attempts_left: int = 1
+    host: int
 
 
 Asker = tuple[Request, int]
@@ -101,13 +94,13 @@
         self.ran.add(request)
 
     def tell(self, request: Request, answer: outcomes.Answer) -> None:
-        key = (request.call_id, request.fingerprint)
+        key = (request.call.call_id, request.call.fingerprint)
         if answer.outcome is model.Outcome.DONE:
             assert key in self.ran, "told 'done', but it never ran"
         if answer.outcome is not NOT_RUN:
             return
         assert key not in self.ran, "told 'not run', but it ran"
-        last = request.client_attempt if request.keyed else 1e9
+        last = request.client_attempt if request.call.keyed else 1e9
         self.never[key] = max(self.never.get(key, 0), last)
 
 
@@ -142,26 +135,14 @@
 
     def call_new(self, request: Request) -> None:
         self.requests.append(request)
-        if request.keyed:
+        if request.call.keyed:
             self.keyed.append(request)
         self.send_call(request)
 
     def send_call(self, request: Request) -> None:
         host = self.hosts[request.host]
-        request.incarnation = host.incarnation
-        request.sent_at = self.now
-        named = host.incarnation
-        if request.keyed and request.client_attempt > 1:
-            named = records.NO_INCARNATION
-        head = records.CallHead(
-            request.call_id,
-            named,
-            request.attempt,
-            request.fingerprint,
-            request.idempotent,
-            request.deadline + 1_000.0 * host.index,
-            request.name,
-        )
+        deadline = request.call.deadline + 1_000.0 * host.index
+        head = request.call.send(host.incarnation, deadline, self.now)
         self.send_to_host(host, lambda: self.take_call(host, head, request))
 
     def send_to_host(self, host: Host, deliver: Callable[[], None]) -> None:
@@ -173,7 +154,7 @@
         request, number = asker
 
         def deliver() -> None:
-            if request.attempt == number:
+            if request.call.attempt == number:
                 self.end_attempt(request, attempt)
 
         self.frames.append(
@@ -183,66 +164,33 @@
     def end_attempt(self, request: Request, attempt: outcomes.Attempt) -> None:
         if request not in self.requests:
             return
-        facts = outcomes.CallFacts(
-            request.idempotent,
-            request.keyed,
-            request.may_have_run,
-            request.attempts_left,
-            True,
-            request.deadline - self.now,
-        )
-        decision = outcomes.decide(attempt, facts)
+        decision = request.call.end_attempt(attempt, True, self.now)
         if isinstance(decision, outcomes.Answer):
             self.requests.remove(request)
             self.oracle.tell(request, decision)
         elif isinstance(decision, outcomes.SettleFirst):
             self.send_settle(request)
         elif isinstance(decision, outcomes.RetryElsewhere):
-            request.may_have_run |= (
-                attempt.end is not outcomes.AttemptEnd.NOT_RUN
-            )
-            request.attempts_left -= 1
-            request.attempt += 1
             request.host = 1 - request.host
             self.send_call(request)
 
     def send_settle(self, request: Request) -> None:
         """Asks over a new link, which may reach a new process."""
         host = self.hosts[request.host]
-        number = request.attempt
+        asker = (request, request.call.attempt)
 
         def deliver() -> None:
-            settlement = host.keeper.settle(
-                records.Inquiry(
-                    request.call_id,
-                    number,
-                    request.fingerprint,
-                    request.incarnation,
-                    self.now - request.sent_at,
-                    request.name,
-                ),
-                self.clock(host),
-            )
-            self.settled(host, (request, number), settlement)
-
+            settlement = host.keeper.settle(inquiry, self.clock(host))
+            attempt = attempts.read_settlement(settlement)
+            if attempt is None:
+                host.askers[inquiry.call_id].append(asker)
+                return
+            self.check_answer(request, settlement.answer)
+            self.reply(asker, attempt)
+
+        inquiry = request.call.make_inquiry(self.now)
         self.send_to_host(host, deliver)
 
-    def settled(
-        self,
-        host: Host,
-        asker: Asker,
-        settlement: records.Settlement,
-    ) -> None:
-        end = outcomes.AttemptEnd
-        if settlement.state is records.CallState.ABSENT:
-            self.reply(asker, outcomes.Attempt(end.NOT_RUN, settlement.code))
-        elif settlement.state is records.CallState.UNKNOWN:
-            self.reply(asker, outcomes.Attempt(end.KEEPER_LOST))
-        elif settlement.state is records.CallState.FINISHED:
-            self.reply_finished(asker, settlement.outcome, settlement.answer)
-        else:
-            host.askers[settlement.call_id].append(asker)
-
     # Host.
 
     def take_call(
@@ -252,14 +200,7 @@
         now = self.clock(host)
         result = host.keeper.begin(head, now)
         if isinstance(result, records.Refused):
-            is_known = result.outcome is NOT_RUN
-            end = outcomes.AttemptEnd
-            self.reply(
-                asker,
-                outcomes.Attempt(
-                    end.NOT_RUN if is_known else end.UNKNOWN, result.code
-                ),
-            )
+            self.reply(asker, attempts.read_refusal(result))
         elif isinstance(result, records.Repeat):
             if result.state is records.CallState.FINISHED:
                 self.reply_finished(asker, result.outcome, result.answer)
@@ -274,20 +215,17 @@
             self.admit(host, host.admission.offer(ticket, now))
 
     def reply_finished(
-        self,
-        asker: Asker,
-        outcome: model.Outcome | None,
-        answer: records.KeptAnswer | None,
+        self, asker: Asker, outcome: Any, answer: records.KeptAnswer | None
     ) -> None:
-        end = outcomes.AttemptEnd
-        if answer is None:
-            self.reply(asker, outcomes.Attempt(end.UNKNOWN, codes.NOT_KEPT))
-        elif outcome is model.Outcome.UNKNOWN:
-            self.reply(asker, outcomes.Attempt(end.UNKNOWN, answer.code))
-        else:
-            expected = f"{asker[0].call_id}/{asker[0].fingerprint}".encode()
-            assert answer.body == expected, "the answer of another call"
-            self.reply(asker, outcomes.Attempt(end.ANSWERED))
+        self.check_answer(asker[0], answer)
+        self.reply(asker, attempts.read_finished(outcome, answer))
+
+    def check_answer(
+        self, request: Request, answer: records.KeptAnswer | None
+    ) -> None:
+        expected = f"{request.call.call_id}/{request.call.fingerprint}".encode()
+        is_own = answer is None or answer.body == expected
+        assert is_own, "the answer of another call"
 
     def admit(self, host: Host, result: Any) -> None:
         ticket = result.ticket
@@ -363,10 +301,10 @@
     ) -> None:
         self.serial += 1
         number, end = self.serial, self.now + budget_s
-        request = Request(
-            f"call-{number}", 1, number, work, *kind, nodes[0], end, str(number)
+        call = progress.Progress(
+            f"call-{number}", number, *kind, False, 1, 1, end, str(number)
         )
-        request.host = nodes[1]
+        request = Request(call, 1, work, *nodes)
         self.call_new(request)
         if not sent:
             self.frames.pop()
@@ -378,21 +316,21 @@
     def repeat_call(self, pick: int, entry: int, other: int) -> None:
         """The caller repeats a keyed call, perhaps with another body."""
         first = self.keyed[pick % len(self.keyed)]
+        call = first.call
         attempt = 1 + max(
-            r.client_attempt for r in self.keyed if r.call_id == first.call_id
+            request.client_attempt
+            for request in self.keyed
+            if request.call.call_id == call.call_id
         )
-        self.call_new(
-            attrs.evolve(
-                first,
-                client_attempt=attempt,
-                attempt=attempt,
-                fingerprint=first.fingerprint + 1_000_000 * other,
-                entry=entry,
-                deadline=self.now + 10.0,
-                name=f"{first.call_id}/{attempt}",
-                may_have_run=True,
-            )
+        repeat = attrs.evolve(
+            call,
+            fingerprint=call.fingerprint + 1_000_000 * other,
+            is_repeat=True,
+            attempt=attempt,
+            deadline=self.now + 10.0,
+            asker=f"{call.call_id}/{attempt}",
         )
+        self.call_new(Request(repeat, attempt, first.work, entry, first.host))
 
     @stateful.precondition(lambda self: self.frames)
     @stateful.rule(pick=ANY, keep=st.sampled_from([False, False, False, True]))
@@ -402,7 +340,7 @@
         frame = self.frames[place]
         if not keep:
             del self.frames[place]
-        if frame.is_live() and self.now - frame.sent_at <= keeper.RETENTION_S:
+        if frame.is_live() and self.now - frame.sent_at <= keeper.LATE_S:
             frame.deliver()
 
     @stateful.precondition(lambda self: self.frames)
@@ -424,21 +362,37 @@
                 end = outcomes.AttemptEnd.LINK_LOST_SENT
                 self.end_attempt(request, outcomes.Attempt(end))
 
+    @stateful.precondition(lambda self: self.keyed)
+    @stateful.rule(pick=ANY)
+    def ask_later(self, pick: int) -> None:
+        """A caller that was told "unknown" asks at any time, with no age."""
+        request = self.keyed[pick % len(self.keyed)]
+        host = self.hosts[request.host]
+        call = attrs.evolve(request.call, attempts_left=0)
+        inquiry = attrs.evolve(call.make_inquiry(self.now), age_s=math.inf)
+        settlement = host.keeper.settle(inquiry, self.clock(host))
+        attempt = attempts.read_settlement(settlement)
+        if attempt is not None:
+            decision = call.end_attempt(attempt, True, self.now)
+            assert isinstance(decision, outcomes.Answer)
+            self.oracle.tell(request, decision)
+
     @stateful.precondition(lambda self: self.requests)
     @stateful.rule(pick=ANY)
     def withdraw(self, pick: int) -> None:
         request = self.requests[pick % len(self.requests)]
         host = self.hosts[request.host]
-        if host.incarnation != request.incarnation:
+        if host.incarnation != request.call.incarnation:
             return
-        asker = (request, request.attempt)
+        asker = (request, request.call.attempt)
         self.send_to_host(
             host, functools.partial(self.take_cancel, host, asker)
         )
 
     def take_cancel(self, host: Host, asker: Asker) -> None:
-        call_id = asker[0].call_id
-        result = host.keeper.withdraw(call_id, asker[0].name, self.clock(host))
+        call_id = asker[0].call.call_id
+        name = asker[0].call.asker
+        result = host.keeper.withdraw(call_id, name, self.clock(host))
         if not isinstance(result, records.Withdrawn):
             return
         if call_id in host.waiting:
@@ -517,7 +471,7 @@
                 self.admit(node, result)
             node.keeper.expire(self.clock(node))
         for request in list(self.requests):
-            if request.deadline <= self.now:
+            if request.call.deadline <= self.now:
                 end = outcomes.AttemptEnd.DEADLINE_SENT
                 self.end_attempt(request, outcomes.Attempt(end))
 
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -103,7 +103,7 @@
         "take the absence of a forgotten id as proof",
         "calls",
         "keeper",
-        "        if inquiry.age_s > RETENTION_S:\n",
+        "        if inquiry.age_s > RETENTION_S - LATE_S:\n",
         "        if False:\n",
         CALLS_TEST,
     ),
