Reconnect for requests that wait at the limit of connections

Cause: when the only connection at the limit was lost, requests that waited for it stayed without one until they timed out; a test of late answers found it. Change: the loss of a connection opens one for the requests that wait.

--- a/libs/standins/src/filbertlift_standins/client.py
+++ b/libs/standins/src/filbertlift_standins/client.py
@@ -168,14 +168,18 @@
             self._idle.pop().send(exchange)
             return
         self._waiting.append(exchange)
-        if len(self._all) + self._connecting < self._limit:
-            self._connecting += 1
-            self._reactor.connectTCP(
-                self._address.host,
-                self._address.port,
-                _Connector(self),
-                timeout=5,
-            )
+        self._connect()
+
+    def _connect(self) -> None:
+        if len(self._all) + self._connecting >= self._limit:
+            return
+        self._connecting += 1
+        self._reactor.connectTCP(
+            self._address.host,
+            self._address.port,
+            _Connector(self),
+            timeout=5,
+        )
 
     def add(self, connection: _Connection) -> None:
         if connection not in self._all:
@@ -190,6 +194,9 @@
         self._all.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        if self._waiting:
+            # At the limit, a lost connection was the one they waited for.
+            self._connect()
 
     def fail_connect(self, reason: str) -> None:
         self._connecting -= 1
