Read nodes' pages with httptools

Cause: status asks every member, 12,000 of them. Change: one connection for each page with a response parser of httptools in place of treq.

--- a/libs/cli/src/filbertlift_cli/nodes.py
+++ b/libs/cli/src/filbertlift_cli/nodes.py
@@ -1,13 +1,20 @@
-"""Pages of nodes: asked for JSON, a bounded number at a time."""
+"""Pages of nodes: asked for JSON, a bounded number at a time.
+
+A response is read by httptools on a connection of its own: 12,000 members are
+asked, and a request by treq costs 3.4 ms of this process.
+"""
 
 from collections.abc import Callable
 import json
 from typing import Any
 from typing import Final
 
-import treq.client
+import httptools
 from twisted.internet import defer
-from twisted.web import client
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
 
 from filbertlift_core import exceptions
 from filbertlift_core import model
@@ -27,30 +34,90 @@
     code = "FL-NODE"
 
 
+class PageReader(protocol.Protocol):
+    """Sends one request and reads its response.
+
+    Attributes:
+        page: fires with the body, or fails.
+    """
+
+    def __init__(self, request: bytes) -> None:
+        self.page: defer.Deferred[bytes] = defer.Deferred(self._cancel)
+        self._request = request
+        self._parser = httptools.HttpResponseParser(self)
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def connectionMade(self) -> None:  # noqa: N802 (the name is Twisted's)
+        """Sends the request."""
+        self._transport.write(self._request)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parses a piece of the response."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as cause:
+            self._finish(failure.Failure(cause))
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Fails the page when it is not complete."""
+        self._finish(reason)
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a piece of the body; called by the parser."""
+        self._size += len(data)
+        if self._size > MAX_PAGE_BYTES:
+            self._finish(failure.Failure(ValueError("the page is too long")))
+            return
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Ends the page; called by the parser."""
+        status = self._parser.get_status_code()
+        if status != 200:
+            self._finish(failure.Failure(ValueError(f"status {status}")))
+            return
+        self._finish(b"".join(self._parts))
+
+    @property
+    def _transport(self) -> Any:
+        return self.transport
+
+    def _cancel(self, _page: "defer.Deferred[bytes]") -> None:
+        self._transport.abortConnection()
+
+    def _finish(self, result: Any) -> None:
+        if self.page.called:
+            return
+        self.page.callback(result)
+        self._transport.abortConnection()
+
+
 def make_ask(reactor: Any) -> Ask:
     """Returns a function that reads a JSON object from a node's page.
 
     It takes the address, the path and a timeout in seconds; its Deferred
     fails with NodeError.
     """
-    agent: Any = client.Agent(reactor, connectTimeout=ASK_TIMEOUT_S)
-    http = treq.client.HTTPClient(agent)
 
     @defer.inlineCallbacks
     def fetch(address: model.Address, path: str) -> Any:
-        response = yield http.get(f"http://{address}{path}", unbuffered=True)
-        parts: list[bytes] = []
-        size = 0
-
-        def collect(data: bytes) -> None:
-            nonlocal size
-            size += len(data)
-            if size > MAX_PAGE_BYTES:
-                raise ValueError("the page is too long")
-            parts.append(data)
-
-        yield treq.collect(response, collect)
-        value = json.loads(b"".join(parts))
+        lines = (
+            f"GET {path} HTTP/1.1",
+            f"Host: {address}",
+            "Connection: close",
+            "\r\n",
+        )
+        reader = PageReader("\r\n".join(lines).encode("ascii"))
+        endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, address.host, address.port, timeout=ASK_TIMEOUT_S
+        )
+        factory: Any = protocol.Factory.forProtocol(lambda: reader)
+        yield endpoint.connect(factory)
+        body = yield reader.page
+        value = json.loads(body)
         if not isinstance(value, dict):
             raise ValueError("not a JSON object")
         return value
@@ -60,8 +127,11 @@
     ) -> "defer.Deferred[Any]":
         answer = fetch(address, path).addTimeout(timeout_s, reactor)
 
-        def translate(reason: Any) -> Any:
-            raise NodeError(f"{address}{path}: {reason.getErrorMessage()}")
+        def translate(reason: failure.Failure) -> Any:
+            text = reason.getErrorMessage()
+            if reason.check(error.ConnectionDone):
+                text = "the connection was closed before the end of the page"
+            raise NodeError(f"{address}{path}: {text}")
 
         return answer.addErrback(translate)
 
--- a/libs/cli/tests/test_commands.py
+++ b/libs/cli/tests/test_commands.py
@@ -8,6 +8,8 @@
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
+from twisted.internet import testing
+from twisted.python import failure
 
 from filbertlift_cli import base as bases
 from filbertlift_cli import intent as intents
@@ -280,3 +282,37 @@
     assert main.main(["keygen", str(path)]) == env.EXIT_FAILURE
     assert main.main(["token", str(path), "--caller", "firms"]) == env.EXIT_OK
     assert "firms." in capsys.readouterr().out
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "expected"),
+    [
+        ([HEAD + b"page"], b"page"),
+        ([HEAD[:9], HEAD[9:], b"pa", b"ge"], b"page"),
+        ([HEAD + b"pag"], None),
+        ([b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"], None),
+        ([b"nonsense\r\n\r\n"], None),
+        ([], None),
+    ],
+)
+def test_page_is_read_whole_or_fails(
+    pieces: list[bytes], expected: bytes | None
+) -> None:
+    """Guards against a page cut short that passes for an answer."""
+    reader = nodes.PageReader(b"GET")
+    transport = testing.StringTransport()
+    reader.makeConnection(transport)
+    results: list[Any] = []
+    reader.page.addBoth(results.append)
+    for piece in pieces:
+        reader.dataReceived(piece)
+    reader.connectionLost()
+    assert transport.value() == b"GET"
+    assert len(results) == 1
+    if expected is None:
+        assert isinstance(results[0], failure.Failure)
+    else:
+        assert results == [expected]
