Run the checked progress of a call in the entry

Cause: the state machine of the calls library found that a settlement has to name asker, attempt and fingerprint, and that the entry's bookkeeping had to be the code that the machine checks. Change: the flow uses Progress; call, settlement and call name carry asker and fingerprint. Before and after: 114 tests of node, wire and transport pass before and after.

--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -234,13 +234,17 @@
     ) -> messages.Call:
         headers = request.headers
         key = headers.get("idempotency-key")
+        self._last_id += 1
+        own_id = f"{self._id_prefix}{self._last_id:x}"
         deadline_ms = read_number(
             headers.get("filbertlift-deadline-ms"),
             int(route.deadline_s * 1000),
         )
         return messages.Call(
             stream=0,
-            call_id=self._make_id(caller, service, key).encode(),
+            call_id=(
+                make_keyed_id(caller, service, key) if key else own_id
+            ).encode(),
             caller=caller,
             token=headers["authorization"][7:],
             service=service,
@@ -256,19 +260,13 @@
             depth=depth,
             attempt=max(1, read_number(headers.get("filbertlift-attempt"), 1)),
             incarnation=0,
-            keyed=key is not None,
+            keyed=bool(key),
             fingerprint=make_fingerprint(request, path) if key else b"",
+            asker=own_id,
             more=False,
             body=request.body,
         )
 
-    def _make_id(self, caller: str, service: str, key: str | None) -> str:
-        if key is None:
-            self._last_id += 1
-            return f"{self._id_prefix}{self._last_id:x}"
-        text = "\0".join((caller, service, key))
-        return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
-
     def _list_targets(self, name: str) -> list[targets.Target]:
         return [
             targets.Target(member.address, member.incarnation, member.place)
@@ -276,6 +274,12 @@
         ]
 
 
+def make_keyed_id(caller: str, service: str, key: str) -> str:
+    """Returns the id of a call with an idempotency key, at every entry."""
+    text = "\0".join((caller, service, key))
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
 def split_path(path: str) -> tuple[str, str]:
     """Returns service and path below it of `/<service>/<path>`."""
     _, _, rest = path.partition("/")
--- a/libs/node/src/filbertlift_node/flow.py
+++ b/libs/node/src/filbertlift_node/flow.py
@@ -8,6 +8,7 @@
 from filbertlift_calls import choice
 from filbertlift_calls import codes
 from filbertlift_calls import outcomes
+from filbertlift_calls import progress as calls_progress
 from filbertlift_calls import targets
 from filbertlift_calls import views
 from filbertlift_config import exceptions as config_exceptions
@@ -61,10 +62,8 @@
     route: routes.Route
     reply: server.Reply
     started_at: float
-    deadline: float
+    progress: calls_progress.Progress
     _tries: list[Try] = attrs.field(factory=list)
-    _attempts_left: int = 0
-    _may_have_run: bool = False
     _retried: bool = False
     _reroutes: int = 0
     _streaming: Try | None = None
@@ -89,9 +88,17 @@
             route=route,
             reply=reply,
             started_at=now,
-            deadline=now + call.deadline_ms / 1000,
-            attempts_left=route.retries,
-            may_have_run=call.keyed and call.attempt > 1,
+            progress=calls_progress.Progress(
+                call_id=call.call_id.decode(),
+                fingerprint=int.from_bytes(call.fingerprint),
+                idempotent=route.idempotent,
+                keyed=call.keyed and not route.idempotent,
+                is_repeat=call.keyed and call.attempt > 1,
+                attempt=call.attempt,
+                attempts_left=route.retries,
+                deadline=now + call.deadline_ms / 1000,
+                asker=call.asker,
+            ),
         )
 
     def start(self) -> None:
@@ -102,7 +109,8 @@
             self.call.deadline_ms / 1000, self._reach_deadline
         )
         self._send_next()
-        if self.route.hedge and self.route.idempotent and not self._is_over:
+        may_hedge = self.route.idempotent and not self.call.keyed
+        if self.route.hedge and may_hedge and not self._is_over:
             self._plan_hedge()
 
     @property
@@ -192,19 +200,14 @@
 
     def _make_call(self, incarnation: int) -> messages.Call:
         now = self._entry.reactor.seconds()
-        call = self.call
-        number = call.attempt + len(self._tries) - 1
-        if call.attempt > 1:
-            # A caller's repeat may have run at an earlier incarnation.
-            incarnation = 0
-        if number == 1 and now - self.started_at < 0.001:
-            return attrs.evolve(call, incarnation=incarnation)
+        progress = self.progress
+        head = progress.send(incarnation, progress.deadline, now)
         return attrs.evolve(
-            call,
-            attempt=number,
-            incarnation=incarnation,
+            self.call,
+            attempt=head.attempt,
+            incarnation=head.incarnation,
             version=self.route.version,
-            deadline_ms=max(1, int((self.deadline - now) * 1000)),
+            deadline_ms=max(1, int((progress.deadline - now) * 1000)),
         )
 
     def _make_listener(self, current: Try) -> attempts.Listener:
@@ -335,37 +338,21 @@
         if any(not item.is_over for item in self._tries):
             # The other attempt of a hedged read decides.
             return
-        decision = outcomes.decide(attempt, self._describe())
+        now = self._entry.reactor.seconds()
+        has_budget = self._entry.retry_budget.has_left(now)
+        decision = self.progress.end_attempt(attempt, has_budget, now)
         if isinstance(decision, outcomes.Answer):
             self._fail(decision, current)
         elif isinstance(decision, outcomes.RetryElsewhere):
-            self._retry(decision, attempt)
+            self._retry(decision)
         elif isinstance(decision, outcomes.SettleFirst):
             self._is_settling = True
             settlements.settle(self._entry, self, current)
 
-    def _describe(self) -> outcomes.CallFacts:
-        now = self._entry.reactor.seconds()
-        return outcomes.CallFacts(
-            idempotent=self.route.idempotent,
-            keyed=self.call.keyed and not self.route.idempotent,
-            may_have_run=self._may_have_run,
-            attempts_left=self._attempts_left,
-            has_budget=self._entry.retry_budget.has_left(now),
-            time_left_s=self.deadline - now,
-        )
-
-    def _retry(
-        self, decision: outcomes.RetryElsewhere, attempt: outcomes.Attempt
-    ) -> None:
+    def _retry(self, decision: outcomes.RetryElsewhere) -> None:
         entry = self._entry
         if decision.costs_budget:
             entry.retry_budget.take(entry.reactor.seconds())
-            self._attempts_left -= 1
-        if attempt.end is not End.NOT_RUN:
-            self._may_have_run = self._may_have_run or (
-                attempt.end not in (End.LINK_LOST_UNSENT, End.DEADLINE_UNSENT)
-            )
         entry.metrics.retries.inc()
         self._send_next(decision.code)
 
@@ -428,6 +415,7 @@
             except config_exceptions.RouteError:
                 self._finish_without(End.NOT_RUN, codes.DENIED)
                 return
+            self.progress.idempotent = self.route.idempotent
             if entry.is_stale(self.route):
                 self._finish_without(End.NOT_RUN, codes.STALE_VERSION)
                 return
@@ -460,7 +448,7 @@
             return
         # Only one withdrawal is waited for; the other attempt of a hedged
         # read may have run.
-        self._may_have_run = self._may_have_run or len(sent) > 1
+        self.progress.may_have_run |= len(sent) > 1
         self._timer = self._entry.reactor.callLater(
             CANCEL_GRACE_S, self._end_late, True
         )
@@ -482,9 +470,10 @@
 
     def _finish_without(self, end: outcomes.AttemptEnd, code: str) -> None:
         """Answers a call for which no attempt is under way any more."""
-        decision = outcomes.decide(
-            outcomes.Attempt(end, code),
-            attrs.evolve(self._describe(), attempts_left=0),
+        self.progress.attempts_left = 0
+        now = self._entry.reactor.seconds()
+        decision = self.progress.end_attempt(
+            outcomes.Attempt(end, code), False, now
         )
         if not isinstance(decision, outcomes.Answer):
             decision = outcomes.Answer(
@@ -536,10 +525,13 @@
     def _make_name(self, current: Try) -> messages.Header:
         return messages.Header(
             "Filbertlift-Call",
-            settlements.make_call_name(
-                self.call.call_id.decode(),
-                current.view.target.address,
-                current.incarnation,
+            str(
+                settlements.CallName(
+                    self.progress.call_id,
+                    current.view.target.address,
+                    current.incarnation,
+                    self.progress.fingerprint,
+                )
             ),
         )
 
--- a/libs/node/src/filbertlift_node/inbound.py
+++ b/libs/node/src/filbertlift_node/inbound.py
@@ -250,8 +250,10 @@
     return records.Inquiry(
         question.call_id.decode("ascii", "replace"),
         question.attempt,
+        int.from_bytes(question.fingerprint),
         question.incarnation,
         question.age_ms / 1000,
+        question.asker,
     )
 
 
@@ -270,6 +272,7 @@
         outcome=outcome,
         known=state is not records.CallState.UNKNOWN,
         running=state in (records.CallState.QUEUED, records.CallState.RUNNING),
+        code=settlement.code,
         status=kept.status if kept else 0,
         headers=kept.headers if kept else (),
         body=kept.body if kept else b"",
--- a/libs/node/src/filbertlift_node/relay.py
+++ b/libs/node/src/filbertlift_node/relay.py
@@ -116,6 +116,7 @@
     _relay: "Relay"
     run: Run
     listener: attempts.Listener
+    name: str
 
     def pause(self) -> None:
         """Stops the stream of the answer, which goes to the first asker."""
@@ -222,7 +223,7 @@
         if is_kept:
             known = self._begin(call, call_id, route, deadline, listener, now)
             if isinstance(known, Run):
-                return Asker(self, known, listener)
+                return Asker(self, known, listener, call.asker)
             if known is not None:
                 return None
         elif call_id in self._runs:
@@ -239,7 +240,7 @@
             self._start(run, now)
         elif isinstance(result, tickets.Shed):
             self._drop(run, result.code, result.retry_after_s)
-        return None if run.is_over else Asker(self, run, listener)
+        return None if run.is_over else Asker(self, run, listener, call.asker)
 
     def settle(self, inquiry: records.Inquiry) -> records.Settlement:
         """Says what became of a call whose link was lost."""
@@ -255,7 +256,7 @@
             return True
         if run.is_kept:
             result = self.keeper.withdraw(
-                run.ticket.call_id, self._reactor.seconds()
+                run.ticket.call_id, asker.name, self._reactor.seconds()
             )
             if not isinstance(result, records.Withdrawn):
                 # Another asker still waits for it.
@@ -398,6 +399,7 @@
             fingerprint=int.from_bytes(call.fingerprint),
             idempotent=route.idempotent,
             deadline=deadline,
+            asker=call.asker,
         )
         result = self.keeper.begin(head, now)
         if isinstance(result, records.Begun):
--- a/libs/node/src/filbertlift_node/settlements.py
+++ b/libs/node/src/filbertlift_node/settlements.py
@@ -23,16 +23,26 @@
 ASK_S = 0.1
 OUTCOME_PATH = "/-/calls/"
 _MAX_AGE_MS = 2**31 - 1
+_MAX_NAME = 160
+_MAX_FINGERPRINT = 2**64
 _JSON = messages.Header("Content-Type", "application/json")
 
 
 @attrs.frozen
 class CallName:
-    """The public name of a call: id, keeper and its incarnation."""
+    """The public name of a call.
+
+    Attributes:
+        call_id: identity of the call.
+        address: link address of the keeper.
+        incarnation: incarnation of the keeper.
+        fingerprint: hash of the request, 0 without an idempotency key.
+    """
 
     call_id: str
     address: model.Address
     incarnation: int
+    fingerprint: int
 
     @classmethod
     def parse(cls, text: str) -> "CallName":
@@ -42,19 +52,28 @@
             ModelError: if the text is not a name.
         """
         call_id, _, place = text.partition("@")
-        address, _, incarnation = place.partition(",")
-        if not call_id.isalnum() or not incarnation.isdigit():
+        parts = place.split(",")
+        if len(text) > _MAX_NAME or not text.isascii() or len(parts) != 3:
             raise exceptions.ModelError(f"{text[:80]!r} names no call")
-        if len(call_id) > 64 or len(incarnation) > 18:
-            raise exceptions.ModelError("the name of a call is too long")
-        return cls(call_id, model.Address.parse(address), int(incarnation))
-
+        address, incarnation, fingerprint = parts
+        if not (
+            call_id.isalnum()
+            and incarnation.isdigit()
+            and fingerprint.isdigit()
+        ):
+            raise exceptions.ModelError(f"{text[:80]!r} names no call")
+        return cls(
+            call_id,
+            model.Address.parse(address),
+            int(incarnation),
+            int(fingerprint),
+        )
 
-def make_call_name(
-    call_id: str, address: model.Address, incarnation: int
-) -> str:
-    """Returns the name by which a caller can ask for an outcome."""
-    return f"{call_id}@{address},{incarnation}"
+    def __str__(self) -> str:
+        return (
+            f"{self.call_id}@{self.address},{self.incarnation},"
+            f"{self.fingerprint}"
+        )
 
 
 def settle(
@@ -66,13 +85,15 @@
     def ask() -> None:
         if flow.is_over:
             return
-        age = entry.reactor.seconds() - current.sent_at
+        inquiry = flow.progress.make_inquiry(entry.reactor.seconds())
         question = messages.Settle(
             stream=0,
             call_id=flow.call.call_id,
-            incarnation=current.incarnation,
-            attempt=flow.call.attempt,
-            age_ms=min(_MAX_AGE_MS, math.ceil(age * 1000)),
+            incarnation=inquiry.incarnation,
+            attempt=inquiry.attempt,
+            age_ms=min(_MAX_AGE_MS, math.ceil(inquiry.age_s * 1000)),
+            fingerprint=flow.call.fingerprint,
+            asker=inquiry.asker,
         )
         entry.metrics.settles.inc()
         ask_keeper(entry, target.address, target.place.region, question, take)
@@ -89,9 +110,7 @@
             flow.take_settlement(current, outcomes.Attempt(end))
         elif settled.outcome is model.Outcome.NOT_RUN:
             end = outcomes.AttemptEnd.NOT_RUN
-            flow.take_settlement(
-                current, outcomes.Attempt(end, codes.WITHDRAWN, 503)
-            )
+            flow.take_settlement(current, outcomes.Attempt(end, settled.code))
         elif settled.outcome is model.Outcome.DONE:
             flow.take_settled_answer(current, _make_answer(settled))
         else:
@@ -155,7 +174,13 @@
     # The caller does not say when it sent the call, so that absence proves
     # nothing: an age over the keeper's retention makes it answer "unknown".
     question = messages.Settle(
-        0, name.call_id.encode(), name.incarnation, 1, _MAX_AGE_MS
+        stream=0,
+        call_id=name.call_id.encode(),
+        incarnation=name.incarnation,
+        attempt=1,
+        age_ms=_MAX_AGE_MS,
+        fingerprint=(name.fingerprint % _MAX_FINGERPRINT).to_bytes(8),
+        asker="",
     )
     member = entry.sources.find_member(name.address)
     if member is None:
--- a/libs/node/tests/fakes.py
+++ b/libs/node/tests/fakes.py
@@ -72,6 +72,7 @@
         incarnation=0,
         keyed=False,
         fingerprint=b"",
+        asker="id1",
         more=False,
         body=b"load",
     )
--- a/libs/wire/src/filbertlift_wire/messages.py
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -100,6 +100,7 @@
         incarnation: incarnation of the keeper meant, or 0 for any.
         keyed: whether the caller gave an idempotency key.
         fingerprint: hash of the request, to detect a reused key.
+        asker: names the caller's request to keepers, over every link.
         more: whether the body continues in chunks.
         body: the body or its first part.
     """
@@ -119,6 +120,7 @@
     incarnation: U63
     keyed: bool
     fingerprint: bytes
+    asker: str
     more: bool
     body: bytes
 
@@ -201,6 +203,8 @@
         incarnation: incarnation of the keeper that the call was sent to.
         attempt: number of the attempt that was sent.
         age_ms: time since it was sent, by the sender's clock.
+        fingerprint: hash of the request, as in the call.
+        asker: as in the call.
     """
 
     stream: U32
@@ -208,6 +212,8 @@
     incarnation: U63
     attempt: U32
     age_ms: U32
+    fingerprint: bytes
+    asker: str
 
 
 @attrs.frozen
@@ -219,6 +225,7 @@
     outcome: model.Outcome
     known: bool
     running: bool
+    code: str
     status: U16
     headers: tuple[Header, ...]
     body: bytes
--- a/libs/wire/tests/test_frames.py
+++ b/libs/wire/tests/test_frames.py
@@ -87,6 +87,7 @@
     incarnation=2**40,
     keyed=True,
     fingerprint=b"",
+    asker="id",
     more=False,
     body=b"body",
 )
