--- a/libs/calls/src/filbertlift_calls/keeper.py
+++ b/libs/calls/src/filbertlift_calls/keeper.py
@@ -1,8 +1,8 @@
 """At most once: the record of every call id at the node beside its target.
 
-The decisions rest on one property of links: a frame arrives within
-`RETENTION_S` of its sending or never, because a link that is silent for 3 s is
-closed at both ends.
+The decisions rest on one property of links: a frame arrives within `LATE_S` of
+its sending or never, because a link that is silent for 3 s is closed at both
+ends.
 """
 
 from collections import OrderedDict
@@ -16,6 +16,8 @@
 from filbertlift_calls import records
 from filbertlift_core import model
 
+# A frame arrives within this time of its sending or never, in seconds.
+LATE_S: Final = 15.0
 # How long an id is held after the deadline of its call, in seconds.
 RETENTION_S: Final = 30.0
 # How long an id that was settled as absent is held. Its deadline is not known,
@@ -37,8 +39,11 @@
     attempt: int
     fingerprint: int
     expires: float
-    askers: int = 1
+    askers: set[str]
     code: str = codes.WITHDRAWN
+    # False when earlier attempts may have run: at a process before this one,
+    # or here, for an idempotent call that was forgotten or runs again.
+    is_vouched: bool = True
     outcome: model.Outcome | None = None
     answer: records.KeptAnswer | None = None
 
@@ -89,7 +94,7 @@
         entry = self._entries.get(call.call_id)
         if entry is not None and not _may_rerun(call, entry):
             return _repeat(call, entry)
-        refusal = self._check_incarnation(call, entry is not None)
+        refusal = self._check_incarnation(call, entry)
         if refusal is not None:
             return refusal
         if entry is not None:
@@ -106,6 +111,8 @@
                 call.attempt,
                 call.fingerprint,
                 max(call.deadline, now) + RETENTION_S,
+                {call.asker},
+                is_vouched=call.attempt == 1 or not call.idempotent,
             ),
         )
         return records.Begun(call.call_id)
@@ -164,7 +171,7 @@
         entry.expires = max(entry.expires, now + RETENTION_S)
 
     def withdraw(
-        self, call_id: str, now: float
+        self, call_id: str, asker: str, now: float
     ) -> (
         records.Withdrawn
         | records.AlreadyStarted
@@ -174,18 +181,18 @@
         """Takes back one asker's wish for a call.
 
         A call that another asker waits for goes on, so `AlreadyStarted` is
-        the result although it may still be queued.
+        the result although it may still be queued. An asker whose own frame
+        has not arrived is told `NotHeld`, and must settle.
         """
         entry = self._entries.get(call_id)
-        if entry is None:
+        if entry is None or asker not in entry.askers:
             return records.NotHeld(call_id)
         if entry.state is records.CallState.FINISHED:
             assert entry.outcome is not None
             return records.Finished(call_id, entry.outcome, entry.answer)
         if entry.state is records.CallState.ABSENT:
             return records.Withdrawn(call_id)
-        entry.askers -= 1
-        if entry.state is records.CallState.RUNNING or entry.askers > 0:
+        if entry.state is records.CallState.RUNNING or len(entry.askers) > 1:
             return records.AlreadyStarted(call_id)
         self.drop(call_id, codes.WITHDRAWN, now)
         return records.Withdrawn(call_id)
@@ -197,10 +204,11 @@
         call_id = inquiry.call_id
         entry = self._entries.get(call_id)
         if entry is not None:
-            return self._settle_held(inquiry, entry)
+            return self._settle_held(inquiry, entry, now)
         if inquiry.incarnation != self.incarnation:
             return records.Settlement(call_id, records.CallState.UNKNOWN)
-        if inquiry.age_s > RETENTION_S:
+        # The question itself may be late too, and the id forgotten meanwhile.
+        if inquiry.age_s > RETENTION_S - LATE_S:
             return records.Settlement(call_id, records.CallState.UNKNOWN)
         # Without a tombstone a late frame could run after "absent" was told.
         if len(self._entries) >= self.max_entries:
@@ -208,10 +216,18 @@
         self._hold(
             call_id,
             _Entry(
-                records.CallState.ABSENT, inquiry.attempt, 0, now + TOMBSTONE_S
+                records.CallState.ABSENT,
+                inquiry.attempt,
+                inquiry.fingerprint,
+                now + TOMBSTONE_S,
+                {inquiry.asker},
+                codes.ABSENT,
+                is_vouched=inquiry.attempt == 1,
             ),
         )
-        return records.Settlement(call_id, records.CallState.ABSENT)
+        return records.Settlement(
+            call_id, records.CallState.ABSENT, codes.ABSENT
+        )
 
     def expire(self, now: float) -> int:
         """Forgets ids whose time is over; returns how many.
@@ -233,16 +249,17 @@
         return forgotten
 
     def _check_incarnation(
-        self, call: records.CallHead, held: bool
+        self, call: records.CallHead, entry: _Entry | None
     ) -> records.Refused | None:
         """Refuses a call that may have run where this keeper can't know."""
         if call.incarnation == self.incarnation:
             return None
         if call.idempotent:
             return None
-        if call.incarnation == records.NO_INCARNATION and (
-            held or call.attempt == 1
-        ):
+        is_safe = call.attempt == 1
+        if entry is not None:
+            is_safe = entry.is_vouched
+        if call.incarnation == records.NO_INCARNATION and is_safe:
             return None
         if call.attempt > 1:
             return records.Refused(
@@ -253,16 +270,28 @@
         )
 
     def _settle_held(
-        self, inquiry: records.Inquiry, entry: _Entry
+        self, inquiry: records.Inquiry, entry: _Entry, now: float
     ) -> records.Settlement:
-        if entry.state is records.CallState.ABSENT:
-            if inquiry.incarnation != self.incarnation:
-                return records.Settlement(
-                    inquiry.call_id, records.CallState.UNKNOWN
-                )
+        """Answers for a held id; a tombstone speaks for its own process only.
+
+        An id held for another request says that this one was refused, or will
+        be when its frame arrives late.
+        """
+        call_id = inquiry.call_id
+        is_absent = entry.state is records.CallState.ABSENT
+        if is_absent or entry.fingerprint != inquiry.fingerprint:
+            is_last = is_absent and entry.attempt == inquiry.attempt
+            is_safe = entry.is_vouched or is_last
+            if inquiry.incarnation != self.incarnation or not is_safe:
+                return records.Settlement(call_id, records.CallState.UNKNOWN)
             entry.attempt = max(entry.attempt, inquiry.attempt)
+            entry.expires = max(entry.expires, now + RETENTION_S)
+            code = entry.code if is_absent else codes.KEY_REUSED
+            code = code if entry.is_vouched else codes.ABSENT
+            return records.Settlement(call_id, records.CallState.ABSENT, code)
+        entry.askers.add(inquiry.asker)
         return records.Settlement(
-            inquiry.call_id, entry.state, entry.outcome, entry.answer
+            call_id, entry.state, "", entry.outcome, entry.answer
         )
 
     def _hold(self, call_id: str, entry: _Entry) -> None:
@@ -275,7 +304,8 @@
         entry.state = records.CallState.QUEUED
         entry.attempt = call.attempt
         entry.fingerprint = call.fingerprint
-        entry.askers = 1
+        entry.is_vouched = entry.is_vouched and not call.idempotent
+        entry.askers = {call.asker}
         entry.outcome = None
         entry.expires = max(entry.expires, call.deadline + RETENTION_S, now)
 
@@ -321,6 +351,10 @@
     call: records.CallHead, entry: _Entry
 ) -> records.Repeat | records.Refused:
     if entry.state is records.CallState.ABSENT:
+        if not entry.is_vouched:
+            return records.Refused(
+                call.call_id, codes.KEEPER_LOST, model.Outcome.UNKNOWN
+            )
         return records.Refused(call.call_id, entry.code, model.Outcome.NOT_RUN)
     # Also when refused below: a second copy of the frame must not run.
     entry.attempt = max(entry.attempt, call.attempt)
@@ -328,8 +362,7 @@
         return records.Refused(
             call.call_id, codes.KEY_REUSED, model.Outcome.NOT_RUN
         )
-    if entry.state in _OPEN:
-        entry.askers += 1
+    entry.askers.add(call.asker)
     return records.Repeat(
         call.call_id, entry.state, entry.outcome, entry.answer
     )
--- a/libs/harness/src/filbertlift_harness/soak.py
+++ b/libs/harness/src/filbertlift_harness/soak.py
@@ -1,5 +1,6 @@
 """Soak test: a seeded random sequence of faults under load, with an oracle."""
 
+import collections
 import math
 import random
 from typing import Any
@@ -12,8 +13,8 @@
 from filbertlift_core import exceptions
 from filbertlift_harness import deployment as deployments
 from filbertlift_harness import disturbances
+from filbertlift_harness import heads
 from filbertlift_harness import oracle
-from filbertlift_harness import pages
 from filbertlift_harness import publishing
 from filbertlift_harness import runs
 from filbertlift_harness import steps
@@ -56,22 +57,25 @@
     def __init__(self, deployment: deployments.Deployment) -> None:
         self.checker = versions.VersionChecker()
         self._deployment = deployment
-        self._polls = task.LoopingCall(self._poll)
-        self._polls.clock = deployment.reactor
+        # One poll for each node, so that a paused one delays no other.
+        self._polls = [
+            task.LoopingCall(self._poll, spec) for spec in deployment.nodes
+        ]
 
     def start(self) -> None:
         """Begins to poll every node."""
-        self._polls.start(_POLL_S)
+        for poll in self._polls:
+            poll.clock = self._deployment.reactor
+            poll.start(_POLL_S)
 
     def stop(self) -> None:
         """Polls no more."""
-        if self._polls.running:
-            self._polls.stop()
+        for poll in self._polls:
+            if poll.running:
+                poll.stop()
 
-    def _poll(self) -> Any:
-        return defer.Deferred.fromCoroutine(
-            pages.gather([self._read(spec) for spec in self._deployment.nodes])
-        )
+    def _poll(self, spec: deployments.NodeSpec) -> Any:
+        return defer.Deferred.fromCoroutine(self._read(spec))
 
     async def _read(self, spec: deployments.NodeSpec) -> None:
         page = await disturbances.read_page(self._deployment, spec)
@@ -81,6 +85,28 @@
             )
 
 
+def check_logs(deployment: deployments.Deployment) -> list[str]:
+    """Returns every return to an older version that a log shows."""
+    problems = []
+    for spec in deployment.nodes:
+        path = deployment.folder / f"{spec.node_name}.log"
+        with open(path, encoding="utf-8", errors="replace") as log:
+            found = heads.find_returns(log)
+        problems += [f"{spec.name} logged {text}" for text in found]
+    return problems
+
+
+def count_codes(records: list[load.CallRecord]) -> dict[str, int]:
+    """Returns how often each code came with an outcome other than done."""
+    return dict(
+        collections.Counter(
+            f"{record.outcome}/{record.code}"
+            for record in records
+            if record.outcome != "done"
+        )
+    )
+
+
 async def settle(
     deployment: deployments.Deployment, tree: trees.Tree
 ) -> list[str]:
@@ -91,8 +117,9 @@
     """
     try:
         await deployment.wait_ready(_HEAL_S)
-        trees.change_queue(tree, deployment.topology.services[0].name, 999)
-        await publishing.publish_accepted(deployment, tree)
+        services = deployment.topology.service_names
+        trees.change_queue(tree, services[0], 999)
+        await publishing.publish_accepted(deployment, tree, services)
 
         async def agree() -> bool:
             found = set((await deployment.read_versions()).values())
@@ -156,7 +183,9 @@
         f"sent={verdict.sent} whole={verdict.whole} not_run={verdict.not_run}"
         f" unknown={verdict.unknown} versions={len(poller.checker.roots)}"
     )
+    report(f"codes={count_codes(records)}")
     problems += found + disturber.problems + poller.checker.problems
+    problems += check_logs(deployment)
     return problems + verdict.list_problems()
 
 
