--- /dev/null
+++ b/libs/distribution/tests/test_versions.py
@@ -0,0 +1,96 @@
+"""Version state, floors and witnesses, one rule at a time."""
+
+import attrs
+import pytest
+
+from filbertlift_core import model
+from filbertlift_distribution import exceptions
+from filbertlift_distribution import floors
+from filbertlift_distribution import freshness
+from filbertlift_distribution import versions
+from filbertlift_distribution import witnesses
+
+A, B, C = (model.Address("10.0.0.1", port) for port in (1, 2, 3))
+WAIT = versions.Decision.WAIT
+KEEP = versions.Decision.KEEP
+APPLY = versions.Decision.APPLY
+
+
+@attrs.frozen
+class Snapshot:
+    version: int
+    root: str = "a"
+
+
+def test_version_never_goes_back() -> None:
+    """Guards against an older version or one below the floor in force."""
+    state = versions.VersionState()
+    assert state.offer(Snapshot(5), is_witnessed=True) is WAIT
+    state.settle(5)
+    assert state.accept(4) is WAIT
+    assert state.accept(5) is APPLY
+    assert state.offer(Snapshot(4), is_witnessed=True) is KEEP
+    state.settle(8)
+    assert state.offer(Snapshot(7), is_witnessed=True) is KEEP
+    assert state.version == 5
+
+
+def test_two_contents_of_one_version_are_refused() -> None:
+    """Guards against one version number with two meanings."""
+    state = versions.VersionState()
+    state.offer(Snapshot(5))
+    with pytest.raises(exceptions.VersionConflict):
+        state.offer(Snapshot(5, "b"))
+    assert state.candidate == Snapshot(5)
+
+
+def test_floor_needs_every_listed_neighbour() -> None:
+    """Guards against a start below the version that a slow witness knows."""
+    gather = floors.FloorGather()
+    gather.set_neighbours([A, B, C], is_complete=True)
+    assert [ask.to for ask in gather.tick([A, B], 0.0)] == [A, B]
+    gather.receive_floor(A, 4)
+    gather.receive_floor(B, 3)
+    assert gather.result() is None
+    gather.set_neighbours([A, B], is_complete=False)
+    assert gather.result() is None
+    gather.set_neighbours([A, B], is_complete=True)
+    assert gather.result() == 4
+    gather.receive_head(6)
+    assert gather.result() == 6
+
+
+def test_only_chosen_and_linked_witnesses_count() -> None:
+    """Guards against a witness that a restarted node would not ask."""
+    known = witnesses.Witnesses()
+    known.set_chosen([A, B])
+    for peer in (A, B, C):
+        known.open_link(peer)
+    known.note(C, 5)
+    assert known.highest() == 0
+    known.note(A, 5)
+    assert known.highest() == 5
+    known.close_link(A)
+    known.open_link(A)
+    assert known.highest() == 0
+
+
+def test_reports_are_repeated_to_all_neighbours() -> None:
+    """Guards against a version that waits for one silent witness."""
+    known = witnesses.Witnesses()
+    known.set_chosen([A, B, C])
+    for peer in (A, B, C):
+        known.open_link(peer)
+    assert [report.to for report in known.tick(5, 0.0)] == [A, B]
+    assert known.tick(5, 0.1) == []
+    assert [report.to for report in known.tick(5, 0.6)] == [A, B, C]
+
+
+def test_freshness_of_a_newer_version_waits_for_it() -> None:
+    """Guards against an old version that counts as confirmed."""
+    tracker = freshness.Freshness(version=4)
+    tracker.confirm(5, 1.0, 10.0)
+    assert tracker.is_stale(100.0, 10.0)
+    tracker.put_in_force(5)
+    assert not tracker.is_stale(2.0, 10.0)
+    assert tracker.is_stale(2.0, 12.0)
