Start at no version below any that a starting node heard of

A neighbour that had itself restarted answered 0, learned of version 1 and passed it on before the asking node settled its floor at 0 (found by the state machine).

--- a/libs/distribution/src/filbertlift_distribution/replica.py
+++ b/libs/distribution/src/filbertlift_distribution/replica.py
@@ -271,7 +271,9 @@
     def _gather(self, now: float) -> list[Action]:
         floor = self.gather.result()
         if floor is not None:
-            self.state.settle(floor)
+            # A neighbour that answered after its own restart may have learned
+            # of a version since then.
+            self.state.settle(max(floor, self.state.newest_seen))
             return []
         actions: list[Action] = list(self.gather.tick(self._links, now))
         if now >= self._read_at:
