--- a/libs/transport/src/filbertlift_transport/reply.py
+++ b/libs/transport/src/filbertlift_transport/reply.py
@@ -8,6 +8,7 @@
 import attrs
 
 from filbertlift_transport import http
+from filbertlift_transport import outputs
 
 BODYLESS = frozenset((204, 304))
 
@@ -16,7 +17,10 @@
     """What a reply needs of its connection."""
 
     transport: Any
-    is_full: bool
+    output: outputs.Output
+
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Calls the function at the end of this turn of the reactor."""
 
     def end_reply(self, reply: "Reply", keep: bool) -> None:
         """The answer is complete; the connection is kept or closed."""
@@ -43,6 +47,7 @@
     _chunked: bool = False
     _remaining: int | None = None
     _bodyless: bool = False
+    _head: bytes = b""
 
     @property
     def is_over(self) -> bool:
@@ -52,7 +57,7 @@
     @property
     def is_full(self) -> bool:
         """Whether the connection holds enough unsent bytes for now."""
-        return self._connection.is_full
+        return self._connection.output.is_full
 
     def send(
         self, status: int, headers: Iterable[http.Header], body: bytes
@@ -67,7 +72,7 @@
         head = self._make_head(status, headers, length)
         if self._is_head or status in BODYLESS:
             body = b""
-        self._connection.transport.write(head + body)
+        self._connection.output.write(head + body)
         self._end(self._keep)
 
     def start(
@@ -96,9 +101,10 @@
         else:
             self._chunked = True
             framing = "Transfer-Encoding: chunked\r\n"
-        self._connection.transport.write(
-            self._make_head(status, headers, framing)
-        )
+        # The head waits for the first part of the body to share its packet,
+        # at most until the end of this turn of the reactor.
+        self._head = self._make_head(status, headers, framing)
+        self._connection.call_soon(self._flush_head)
 
     def write(self, data: bytes) -> None:
         """Sends part of the body."""
@@ -111,7 +117,7 @@
                 return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.transport.write(data)
+        self._write(data)
 
     def finish(self) -> None:
         """Ends the body; aborts when fewer bytes than declared were sent."""
@@ -120,8 +126,8 @@
         if self._remaining and not self._bodyless:
             self.abort()
             return
-        if self._chunked and not self._bodyless:
-            self._connection.transport.write(b"0\r\n\r\n")
+        ends_chunks = self._chunked and not self._bodyless
+        self._write(b"0\r\n\r\n" if ends_chunks else b"")
         self._end(self._keep)
 
     def abort(self) -> None:
@@ -153,6 +159,16 @@
         reason = http.REASONS.get(status, "Status")
         return http.make_head(f"HTTP/1.1 {status} {reason}", headers, framing)
 
+    def _write(self, data: bytes) -> None:
+        data = self._head + data
+        self._head = b""
+        if data:
+            self._connection.output.write(data)
+
+    def _flush_head(self) -> None:
+        if not self._is_over:
+            self._write(b"")
+
     def _end(self, keep: bool) -> None:
         self._is_over = True
         self._connection.end_reply(self, keep)
