--- a/libs/distribution/tests/test_versions.py
+++ b/libs/distribution/tests/test_versions.py
@@ -45,7 +45,7 @@
     state.open_link(A, 0.0)
     found = state.receive_snapshot(Snapshot(5), 0.0, 0.1)
     assert replica.SendReport(A, 5) in found
-    assert not state.is_ready
+    assert not state.is_ready and state.state.floor == 5
     found = state.receive_reported(A, 5, 0.2)
     assert found == [replica.PutInForce(Snapshot(5))]
 
--- a/libs/membership/tests/test_members.py
+++ b/libs/membership/tests/test_members.py
@@ -110,7 +110,10 @@
             table.members[address], state=STATES.SUSPECT, incarnation=9
         )
         table.apply(suspect, 0.0)
-    assert run(table, 2.5, lambda _: False) == []
+    for seed in range(10):
+        prober = probes.Prober.create(table, random.Random(seed), 0.0)
+        found = run(table, 2.9, lambda to: to.host[-1] in "02468", prober)
+        assert not any(isinstance(a, probes.Accuse) for a in found)
 
 
 def test_dead_member_that_responds_is_contacted() -> None:
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -23,6 +23,9 @@
 # pytest: 1 means that tests ran and failed, 2 and more that they didn't run.
 TESTS_FAILED: Final = 1
 CALLS_TEST: Final = "libs/calls/tests/test_at_most_once.py"
+MEMBERS_TEST: Final = "libs/membership/tests/test_members.py"
+VERSIONS_TEST: Final = "libs/distribution/tests/test_versions.py"
+REPLICA_TEST: Final = "libs/distribution/tests/test_replica.py"
 
 
 @attrs.frozen
@@ -214,6 +217,129 @@
         "        return slots\n",
         CALLS_TEST,
     ),
+    Fault(
+        "forget the version floor on restart",
+        "distribution",
+        "replica",
+        "            self.floor_table.floor_of(sender),\n",
+        "",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "settle a floor of 0 on restart",
+        "distribution",
+        "replica",
+        "self.state.settle(max(floor, self.state.newest_seen))",
+        "self.state.settle(0)",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "settle the floor before all neighbours have responded",
+        "distribution",
+        "floors",
+        "        if self.neighbours - self.responses.keys():\n"
+        "            return None\n",
+        "",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "put a candidate in force without a witness",
+        "distribution",
+        "replica",
+        "        if self._witnesses.is_alone:\n",
+        "        if True:\n",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "count a witness that a restarted node does not ask",
+        "distribution",
+        "witnesses",
+        "(self._known.get(peer, 0) for peer in self._chosen)",
+        "self._known.values()",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "accept an older version",
+        "distribution",
+        "versions",
+        "        if snapshot.version <= self.version or"
+        " snapshot.version < self.floor:\n",
+        "        if snapshot == self.in_force:\n",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "count a confirmation of a newer version for the one in force",
+        "distribution",
+        "freshness",
+        "        if version <= self.version:\n",
+        "        if True:\n",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "ignore the delay of a heartbeat",
+        "distribution",
+        "freshness",
+        "- max(transit, 0.0)",
+        "",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "let an old ALIVE record replace DEAD",
+        "membership",
+        "members",
+        "    return update.state > known.state\n",
+        "    return update.state != known.state\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "forget the incarnation of an expired member",
+        "membership",
+        "members",
+        "        return self.members.get(address) or"
+        " self._forgotten.get(address)\n",
+        "        return self.members.get(address)\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "take a paused node's stale state",
+        "membership",
+        "members",
+        "        if last is None or now - last < SUSPECT_S:\n",
+        "        if True:\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "leave a suspicion of this node standing",
+        "membership",
+        "members",
+        "        if update.incarnation < self.own.incarnation:\n",
+        "        if update.incarnation <= self.own.incarnation:\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "accuse others while most own probes fail",
+        "membership",
+        "probes",
+        "if not self.is_healthy or self._allowance",
+        "if self._allowance",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "accuse without a bound",
+        "membership",
+        "probes",
+        "        return self._table.suspected < MAX_SUSPECTED\n",
+        "        return True\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "never contact a DEAD member that responds",
+        "membership",
+        "probes",
+        "            return [Reconnect(probe.target)]\n",
+        "            return []\n",
+        MEMBERS_TEST,
+    ),
 )
 
 
