--- a/libs/membership/src/filbertlift_membership/gossip.py
+++ b/libs/membership/src/filbertlift_membership/gossip.py
@@ -18,8 +18,9 @@
 # A batch can be lost when a link breaks without notice. Digests of one link
 # are compared at this interval, one link after the other.
 DIGEST_S = 30.0
-# Two nodes that find a difference exchange their digests once, not forever.
-DIGEST_REPLY_S = 5.0
+# After a difference, the digests are compared again when the records have
+# been sent, but not more often than this.
+CONFIRM_S = 1.0
 
 
 @attrs.frozen
@@ -40,14 +41,22 @@
 
 @attrs.define
 class GossipQueue:
-    """Records to send, by link; at most one record of each member."""
+    """Records to send, by link; at most one record of each member.
 
+    Attributes:
+        is_synced: whether this node ever knew the same members of its region
+            as another one; until then its neighbours are not yet those that
+            its predecessor at this address chose.
+    """
+
+    is_synced: bool = False
     _pending: dict[model.Address, dict[model.Address, model.Member]] = (
         attrs.field(factory=dict)
     )
     _sent_at: float = float("-inf")
     _compared_at: dict[model.Address, float] = attrs.field(factory=dict)
     _last_compared_at: float = float("-inf")
+    _unconfirmed: set[model.Address] = attrs.field(factory=set)
 
     def open_link(self, peer: model.Address) -> None:
         """Starts to queue records for a link."""
@@ -58,6 +67,7 @@
         """Drops the records of a link; a new link compares digests."""
         self._pending.pop(peer, None)
         self._compared_at.pop(peer, None)
+        self._unconfirmed.discard(peer)
 
     def spread(
         self, update: model.Member, sender: model.Address | None = None
@@ -88,30 +98,35 @@
         ]
 
     def compare(self, table: MemberTable, now: float) -> list[SendDigest]:
-        """Returns the digests due: on new links, and of one link each 30 s."""
-        due = [
-            peer
-            for peer, at in self._compared_at.items()
-            if at == float("-inf")
-        ]
+        """Returns the digests due.
+
+        They go over new links, after the records that a difference called
+        for, and every 30 s over the link compared least recently.
+        """
+        due = [peer for peer in self._compared_at if self._is_due(peer, now)]
         if not due and now - self._last_compared_at >= DIGEST_S:
             due = sorted(self._compared_at, key=self._compared_at.__getitem__)
             due = due[:1]
         return [self._send_digest(table, peer, now) for peer in due]
 
-    def reply(
-        self, table: MemberTable, peer: model.Address, now: float
-    ) -> list[SendDigest]:
-        """Returns the digests for a node whose digests differ."""
-        at = self._compared_at.get(peer)
-        if at is None or now - at < DIGEST_REPLY_S:
-            return []
-        return [self._send_digest(table, peer, now)]
+    def confirm(self, peer: model.Address) -> None:
+        """Asks for a comparison after the records queued for a link."""
+        if peer in self._pending:
+            self._unconfirmed.add(peer)
+
+    def _is_due(self, peer: model.Address, now: float) -> bool:
+        at = self._compared_at[peer]
+        if at == float("-inf"):
+            return True
+        if peer not in self._unconfirmed or self._pending[peer]:
+            return False
+        return now - at >= CONFIRM_S
 
     def _send_digest(
         self, table: MemberTable, peer: model.Address, now: float
     ) -> SendDigest:
         self._compared_at[peer] = now
+        self._unconfirmed.discard(peer)
         self._last_compared_at = now
         return SendDigest(peer, table.digest_by_data_centre())
 
@@ -139,17 +154,29 @@
 def receive_digest(
     table: MemberTable,
     queue: GossipQueue,
-    digests_received: dict[str, str],
+    received: dict[str, str],
     sender: model.Address,
-    now: float,
-) -> list[SendDigest]:
+) -> None:
     """Queues the records of each data centre that differs at the sender."""
     own = table.digest_by_data_centre()
-    different = digests.compare(own, digests_received)
+    different = digests.compare(own, received)
+    if not _has_home(table, different):
+        queue.is_synced = True
     for data_centre in different:
         for member in table.members_of(data_centre):
             queue.send(sender, member)
-    return queue.reply(table, sender, now) if different else []
+    if different:
+        queue.confirm(sender)
+
+
+def _has_home(table: MemberTable, data_centres: list[str]) -> bool:
+    """Returns whether one may be of the own region; unknown ones may be."""
+    home = table.own.place.region
+    for data_centre in data_centres:
+        found = table.members_of(data_centre)
+        if not found or found[0].place.region == home:
+            return True
+    return False
 
 
 def _take_batches(
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -129,11 +129,9 @@
 
     def send_digest(self, address, action) -> None:
         def deliver(host: Host) -> None:
-            replies = gossip.receive_digest(
-                host.table, host.queue, action.digests, address, self.now
+            gossip.receive_digest(
+                host.table, host.queue, action.digests, address
             )
-            for reply in replies:
-                self.send_digest(action.to, reply)
 
         if frozenset((address, action.to)) in self.links:
             self.send(address, action.to, deliver)
@@ -323,6 +321,7 @@
         actual = {host.table.own for host in world.hosts.values()}
         regions = {member.place.region for member in actual}
         for host in world.hosts.values():
+            assert host.queue.is_synced or len(actual) == 1
             # Nobody probes into a region of which no node is left.
             listed = {
                 member
