--- a/libs/membership/src/filbertlift_membership/ranking.py
+++ b/libs/membership/src/filbertlift_membership/ranking.py
@@ -97,6 +97,7 @@
     _far: selections.Selection
     _gateways: dict[str, selections.Selection] = attrs.field(factory=dict)
     _revision: int = -1
+    _avoided: set[Address] = attrs.field(factory=set)
 
     @classmethod
     def create(cls, table: membership.MemberTable) -> "Topology":
@@ -126,7 +127,7 @@
     def neighbours(self) -> tuple[Member, ...]:
         """Returns the neighbours that this node chooses."""
         self._refresh()
-        chosen = self._near.list() + self._far.list()
+        chosen = self._near.list_chosen() + self._far.list_chosen()
         return tuple(self._table.members[address] for address in chosen)
 
     def gateways(self, region: str) -> tuple[Member, ...]:
@@ -136,7 +137,7 @@
         if selection is None:
             return ()
         return tuple(
-            self._table.members[address] for address in selection.list()
+            self._table.members[address] for address in selection.list_chosen()
         )
 
     def is_gateway(self) -> bool:
@@ -151,11 +152,31 @@
         if not self.is_gateway():
             return ()
         home = self._table.own.place.region
-        return tuple(
-            self.gateways(region)[0]
+        links = (
+            self._find_gateway(region)
             for region in self._table.regions()
-            if region != home and self.gateways(region)
+            if region != home
         )
+        return tuple(member for member in links if member is not None)
+
+    def avoid(self, address: Address) -> None:
+        """States that a far gateway cannot be reached.
+
+        Nobody here probes the members of another region. When both regions
+        list a first gateway that is gone, they would never connect again, so
+        the next by rank is tried until the record of the first one changes.
+        """
+        self._avoided.add(address)
+
+    def _find_gateway(self, region: str) -> Member | None:
+        kept = self._gateways[region].list_kept()
+        if not kept:
+            return None
+        reachable = [a for a in kept if a not in self._avoided]
+        if not reachable:
+            self._avoided.difference_update(kept)
+            reachable = kept
+        return self._table.members[reachable[0]]
 
     def _refresh(self) -> None:
         if self._revision == self._table.revision:
@@ -163,6 +184,7 @@
         changed = self._table.changed_since(max(self._revision, 0))
         is_first = self._revision < 0 or changed is None
         self._revision = self._table.revision
+        self._avoided.difference_update(changed or ())
         for region in self._table.regions():
             if region not in self._gateways:
                 self._gateways[region] = _make_gateways(region)
--- a/libs/membership/src/filbertlift_membership/selections.py
+++ b/libs/membership/src/filbertlift_membership/selections.py
@@ -55,10 +55,14 @@
         """Whether members that are not kept may have to be chosen."""
         return self._bound is not None and len(self._kept) < self._count
 
-    def list(self) -> list[Address]:
+    def list_chosen(self) -> list[Address]:
         """Returns the chosen addresses, the first one first."""
         return [address for _, address in self._kept[: self._count]]
 
+    def list_kept(self) -> list[Address]:
+        """Returns the chosen addresses and the spare ones in their order."""
+        return [address for _, address in self._kept]
+
     def _truncate(self) -> None:
         limit = self._count + SPARE
         if len(self._kept) > limit:
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -194,6 +194,9 @@
             for member in wanted:
                 if member.address != address:
                     self.open_link(address, member.address)
+            for member in host.topology.gateway_links():
+                if frozenset((address, member.address)) not in self.links:
+                    host.topology.avoid(member.address)
             self.read_roster(address, host)
         for pair in list(self.links):
             if self.is_reachable(*pair):
