--- a/libs/distribution/tests/test_replica.py
+++ b/libs/distribution/tests/test_replica.py
@@ -30,6 +30,16 @@
     for i, address in enumerate(ADDRESSES)
 }
 GATEWAYS = (ADDRESSES[0], ADDRESSES[3])
+# Method that receives an action, and its arguments.
+RECEIVERS = {
+    spread.SendNotice: lambda a: ("receive_notice", a.version, a.root, 0.0),
+    spread.SendFetch: lambda a: ("receive_fetch", a.base_version),
+    spread.SendUpdate: lambda a: ("receive_update", a.snapshot),
+    floors.SendAskFloor: lambda a: ("receive_ask_floor",),
+    replicas.SendReport: lambda a: ("receive_report", a.version),
+    replicas.SendReported: lambda a: ("receive_reported", a.version),
+    replicas.SendFloor: lambda a: ("receive_floor", a.version),
+}
 
 
 @attrs.frozen
@@ -252,32 +262,14 @@
             elif isinstance(action, replicas.ReadHead):
                 self.read_store(address)
             else:
-                deliver = self.make_delivery(address, action)
-                self.send(address, action.to, deliver)
-
-    def make_delivery(self, address, action):
-        if isinstance(action, spread.SendNotice):
-            return lambda other: other.receive_notice(
-                address, action.version, action.root, 0.0, self.now
-            )
-        if isinstance(action, spread.SendFetch):
-            return lambda other: other.receive_fetch(
-                address, action.base_version, self.now
-            )
-        if isinstance(action, spread.SendUpdate):
-            return lambda other: other.receive_update(
-                address, action.snapshot, self.now
-            )
-        if isinstance(action, floors.SendAskFloor):
-            return lambda other: other.receive_ask_floor(address, self.now)
-        name = {
-            replicas.SendReport: "receive_report",
-            replicas.SendReported: "receive_reported",
-            replicas.SendFloor: "receive_floor",
-        }[type(action)]
-        return lambda other: getattr(other, name)(
-            address, action.version, self.now
-        )
+                name, *fields = RECEIVERS[type(action)](action)
+                self.send(
+                    address,
+                    action.to,
+                    lambda other, name=name, fields=fields: getattr(
+                        other, name
+                    )(address, *fields, self.now),
+                )
 
     # Oracle.
 
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -113,25 +113,19 @@
             host.queue.spread(dead)
         host.table.expire(self.now)
         self.carry_out(address, host.prober.tick(self.now))
-        for action in host.queue.tick(self.now):
-            self.send_gossip(address, action)
-        for action in host.queue.compare(host.table, self.now):
-            self.send_digest(address, action)
+        batches = host.queue.tick(self.now)
+        for action in batches + host.queue.compare(host.table, self.now):
+            self.send_over_link(address, action)
 
-    def send_gossip(self, address, action) -> None:
+    def send_over_link(self, address, action) -> None:
         def deliver(host: Host) -> None:
-            gossip.receive_updates(
-                host.table, host.queue, action.members, address, self.now
-            )
-
-        if frozenset((address, action.to)) in self.links:
-            self.send(address, action.to, deliver)
-
-    def send_digest(self, address, action) -> None:
-        def deliver(host: Host) -> None:
-            gossip.receive_digest(
-                host.table, host.queue, action.digests, address
-            )
+            table, queue = host.table, host.queue
+            if isinstance(action, gossip.SendDigest):
+                gossip.receive_digest(table, queue, action.digests, address)
+            else:
+                gossip.receive_updates(
+                    table, queue, action.members, address, self.now
+                )
 
         if frozenset((address, action.to)) in self.links:
             self.send(address, action.to, deliver)
