Check the floor of a start before the version that it puts in force

A node may settle its floor and put a version in force in one step. The oracle then compared the version before it had decided whether every witness was lost, and failed in that documented case. Both checks remain, in order.

--- a/libs/distribution/tests/test_replica.py
+++ b/libs/distribution/tests/test_replica.py
@@ -279,6 +279,7 @@
     def check_in_force(self, address, snapshot) -> None:
         version = snapshot.version
         assert snapshot.root == f"root-{version}"
+        self.check_floor(address, self.hosts[address])
         assert version >= self.highest[address], "went back"
         self.highest[address] = version
         if not self.hosts[address].neighbours:
@@ -301,9 +302,7 @@
     def check(self) -> None:
         for address, host in self.hosts.items():
             replica = host.replica
-            if replica.state.is_settled and not host.was_settled:
-                host.was_settled = True
-                self.check_floor(address, host)
+            self.check_floor(address, host)
             age = replica.tracker.age(self.now)
             if age < self.now and replica.state.in_force is not None:
                 head = self.head_at(self.now - age)
@@ -311,11 +310,15 @@
 
     def check_floor(self, address, host: Host) -> None:
         """A start may go back only when every witness lost its memory."""
+        if host.was_settled or not host.replica.state.is_settled:
+            return
+        host.was_settled = True
         floor = host.replica.state.floor
         if floor >= self.highest[address]:
             return
         witnesses = self.witnesses.get(address, [])
         assert not any(p in witnesses for p in self.hosts.values()), "forgotten"
+        assert host.replica.gather._head is None, "below the store's head"
         event("every witness was lost")
         self.highest[address] = floor
 
