Describe operations and check every setting of the node

Cause: operators had no page for running nodes, and several settings were not checked: the store's URL, names, and addresses that others cannot use.

Change: docs/operations.md, with tests that hold it to the settings, metrics and codes. Also mended: - SIGTERM to a joining node opened it for calls during the notice; each ended in an assertion.

--- /dev/null
+++ b/libs/calls/tests/test_codes.py
@@ -0,0 +1,33 @@
+"""Tests of the codes and of the page that describes them."""
+
+import pathlib
+import re
+
+from filbertlift_calls import codes
+
+ROOT = pathlib.Path(__file__).parents[3]
+PAGE = ROOT / "docs" / "operations.md"
+_CODE = re.compile(r"\"(FL-[A-Z-]+)\"")
+
+
+def find_codes() -> set[str]:
+    """Returns every code in the sources of the libraries."""
+    found: set[str] = set()
+    for path in sorted(ROOT.glob("libs/*/src/**/*.py")):
+        found.update(_CODE.findall(path.read_text(encoding="utf-8")))
+    return found
+
+
+def test_page_describes_every_code() -> None:
+    """Guards against a code in a log that no page explains."""
+    text = PAGE.read_text(encoding="utf-8")
+    described = set(re.findall(r"^\| `(FL-[A-Z-]+)` \|", text, re.MULTILINE))
+    assert described == find_codes()
+
+
+def test_page_gives_the_status_of_each_code_of_a_call() -> None:
+    """Guards against a page that names another status than callers get."""
+    text = PAGE.read_text(encoding="utf-8")
+    for code, entry in codes.CODES.items():
+        status = "target's" if code == codes.DONE else str(entry.status)
+        assert f"| `{code}` | {status} |" in text, code
--- a/libs/node/src/filbertlift_node/__main__.py
+++ b/libs/node/src/filbertlift_node/__main__.py
@@ -65,7 +65,11 @@
     )
     app = typer.Typer(add_completion=False)
     app.command()(command)
-    app()
+    try:
+        app(standalone_mode=False)
+    except typer.TyperException as problem:
+        print(f"filbertlift-node: {problem}", file=sys.stderr)
+        sys.exit(env.EXIT_USAGE)
 
 
 if __name__ == "__main__":
--- a/libs/node/src/filbertlift_node/lifecycle.py
+++ b/libs/node/src/filbertlift_node/lifecycle.py
@@ -50,7 +50,8 @@
 # Each row: state, input, next state. Any other input leaves the state alone.
 _TRANSITIONS = (
     ("joining", "confirm", "ready"),
-    ("joining", "leave", "leaving"),
+    # Without a confirmed version, no call may be taken during the notice.
+    ("joining", "leave", "draining"),
     ("ready", "suspend", "joining"),
     ("ready", "leave", "leaving"),
     ("leaving", "refuse", "draining"),
--- a/libs/node/src/filbertlift_node/metrics.py
+++ b/libs/node/src/filbertlift_node/metrics.py
@@ -75,7 +75,8 @@
                 "filbertlift_settles", "Outcomes asked for after a lost link."
             ),
             shed=make_counter(
-                "filbertlift_shed", "Calls shed beside the target."
+                "filbertlift_shed",
+                "Calls that this keeper took and dropped before the start.",
             ),
             version=make_gauge(
                 "filbertlift_version", "Configuration version in force."
--- a/libs/node/src/filbertlift_node/node.py
+++ b/libs/node/src/filbertlift_node/node.py
@@ -17,6 +17,7 @@
 from filbertlift_core import model
 from filbertlift_distribution import spread
 from filbertlift_node import control
+from filbertlift_node import drain
 from filbertlift_node import dump
 from filbertlift_node import entry as entries
 from filbertlift_node import health
@@ -84,6 +85,7 @@
         self.incarnation = incarnation
         self.metrics = node_metrics.NodeMetrics.create()
         self.exit_status = env.EXIT_OK
+        self._rendered_shed = 0
         self._hooks = lifecycle.LifecycleHooks(self._enter)
         self._lifecycle = lifecycle.make_lifecycle(self._hooks)
         self._own = self._make_member()
@@ -404,14 +406,9 @@
         self._reactor.callLater(DRAIN_CHECK_S, self._check_drain, limit)
 
     def _finish_stop(self) -> None:
-        for run in self.relay.list_runs():
-            self.exit_status = env.EXIT_DRAIN_CUT
-            logs.log_event(
-                "drain.cut",
-                call=run.ticket.call_id,
-                started=run.is_started,
-                work_class=run.ticket.work_class.name,
-            )
+        self.exit_status = drain.log_cut_work(
+            self.relay.list_runs(), self.entry.flows
+        )
         self._lifecycle.finish()
         self._reactor.callLater(LAST_GOSSIP_S, self._close)
 
@@ -433,6 +430,9 @@
         self._stopped.callback(self.exit_status)
 
     def _render_metrics(self) -> bytes:
+        # The relay counts by itself, since the call path has no metrics.
+        self.metrics.shed.inc(self.relay.shed - self._rendered_shed)
+        self._rendered_shed = self.relay.shed
         return self.metrics.render()
 
     @property
--- a/libs/node/src/filbertlift_node/replies.py
+++ b/libs/node/src/filbertlift_node/replies.py
@@ -8,6 +8,10 @@
 from filbertlift_transport import server
 from filbertlift_wire import messages
 
+# Delay until a retry when nothing better is known, in seconds.
+DEFAULT_RETRY_S = 1.0
+# Statuses of refusals that may end by themselves.
+_TEMPORARY = (429, 503)
 _JSON = messages.Header("Content-Type", "application/json")
 
 
@@ -25,7 +29,8 @@
         reply: where the answer goes.
         outcome: whether the call ran.
         code: code from the table of calls.
-        retry_after_s: when a retry makes sense, in seconds.
+        retry_after_s: when a retry makes sense, in seconds; None for the
+            default. Only a refusal that may end by itself tells it.
         extra: further headers.
         message: what happened, else the text of the code.
     """
@@ -37,9 +42,10 @@
         messages.Header("Filbertlift-Code", code),
         *extra,
     ]
-    if outcome is model.Outcome.NOT_RUN and retry_after_s is not None:
+    status = codes.get_status(code)
+    if outcome is model.Outcome.NOT_RUN and status in _TEMPORARY:
         # The header counts whole seconds.
-        seconds = max(1, math.ceil(retry_after_s))
+        seconds = max(1, math.ceil(retry_after_s or DEFAULT_RETRY_S))
         headers.append(messages.Header("Retry-After", str(seconds)))
     body = json.dumps({"code": code, "outcome": outcome.value, "error": text})
-    reply.send(codes.get_status(code), headers, body.encode())
+    reply.send(status, headers, body.encode())
--- a/libs/node/src/filbertlift_node/settings.py
+++ b/libs/node/src/filbertlift_node/settings.py
@@ -1,13 +1,67 @@
 """Settings of the node: one table with defaults, units and checks."""
 
 from collections.abc import Mapping
+import ipaddress
+from urllib import parse
 
 import attrs
 
+from filbertlift_config import keys
 from filbertlift_core import model
 from filbertlift_core import settings
 
 POLICIES = ("filbertlift", "fifo")
+# The roster of this name lists gateways of every data centre.
+RESERVED_DATA_CENTRE = "all"
+
+
+def parse_listen(text: str) -> model.Address:
+    """Returns an IP address with a port; raises ValueError or ModelError."""
+    address = model.Address.parse(text)
+    ipaddress.ip_address(address.host)
+    if not address.port:
+        raise ValueError(text)
+    return address
+
+
+def parse_address(text: str) -> model.Address:
+    """Returns an address that other hosts can use.
+
+    Raises:
+        ValueError: for a host name, port 0 or an address such as 0.0.0.0,
+            which others cannot connect to.
+        ModelError: if the text is not host:port.
+    """
+    address = parse_listen(text)
+    if ipaddress.ip_address(address.host).is_unspecified:
+        raise ValueError(text)
+    return address
+
+
+def parse_peers(text: str) -> tuple[model.Address, ...]:
+    """Returns the addresses of a comma-separated list, which may be empty."""
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
+def parse_store(text: str) -> str:
+    """Returns the URL of a store, or the empty text; raises ValueError."""
+    if not text:
+        return text
+    url = parse.urlsplit(text)
+    if url.scheme not in ("http", "https") or not url.hostname or url.query:
+        raise ValueError(text)
+    # Reading the port checks it.
+    if url.port == 0:
+        raise ValueError(text)
+    return text
+
+
+def parse_data_centre(text: str) -> str:
+    """Returns the name of a data centre, which is part of a store key."""
+    if text == RESERVED_DATA_CENTRE:
+        raise ValueError(text)
+    return keys.check_name(text)
 
 
 def parse_proxies(text: str) -> tuple["RegionProxy", ...]:
@@ -17,9 +71,11 @@
         if not part.strip():
             continue
         region, separator, address = part.strip().partition("=")
-        if not separator or not region:
+        if not separator:
             raise ValueError(part)
-        proxies.append(RegionProxy(region, model.Address.parse(address)))
+        proxies.append(
+            RegionProxy(keys.check_name(region), parse_address(address))
+        )
     return tuple(proxies)
 
 
@@ -39,64 +95,65 @@
     proxy: model.Address
 
 
-_ADDRESS = "an IP address and port such as 10.0.0.7:9000"
-_address = model.Address.parse
+_LISTEN = "an IP address and port such as 10.0.0.7:9000"
+_ADDRESS = f"{_LISTEN}, not 0.0.0.0"
+_NAME = "1 to 63 of a-z, 0-9 and -"
 
 TABLE = (
     settings.Setting(
         "cluster",
-        settings.parse_text,
+        keys.check_name,
         "filbertlift",
-        "any text",
+        _NAME,
         "Name of the cluster; nodes of other clusters are refused.",
     ),
     settings.Setting(
-        "region", settings.parse_text, None, "any text", "Region of the host."
+        "region", keys.check_name, None, _NAME, "Region of the host."
     ),
     settings.Setting(
         "data_centre",
-        settings.parse_text,
+        parse_data_centre,
         None,
-        "any text",
+        f"{_NAME}; not {RESERVED_DATA_CENTRE}",
         "Data centre of the host.",
     ),
     settings.Setting(
         "service",
-        settings.parse_text,
+        keys.check_name,
         None,
-        "any text",
+        _NAME,
         "Service of the target beside this node.",
     ),
     settings.Setting(
-        "listen", _address, None, _ADDRESS, "Address for callers (HTTP)."
+        "listen", parse_listen, None, _LISTEN, "Address for callers (HTTP)."
     ),
     settings.Setting(
         "link",
-        _address,
+        parse_address,
         None,
         _ADDRESS,
         "Address for other nodes (TCP, and UDP on the same port).",
     ),
     settings.Setting(
         "status",
-        _address,
+        parse_address,
         None,
         _ADDRESS,
         "Address of the operators' pages (HTTP).",
     ),
     settings.Setting(
-        "target", _address, None, _ADDRESS, "Address of the target (HTTP)."
+        "target", parse_address, None, _ADDRESS, "Address of the target (HTTP)."
     ),
     settings.Setting(
         "store",
-        str,
+        parse_store,
         "",
-        "a URL, or empty for none",
+        "a URL such as http://10.0.0.1:7000, or empty for none",
         "URL of the platform's store.",
     ),
     settings.Setting(
         "peers",
-        settings.parse_addresses,
+        parse_peers,
         "",
         "addresses joined by commas, or empty",
         "Link addresses of other nodes, asked first at start.",
--- /dev/null
+++ b/libs/node/tests/test_settings.py
@@ -0,0 +1,120 @@
+"""Tests of the node's settings and of the page that describes them."""
+
+import pathlib
+
+import prometheus_client.parser as parser
+import pytest
+
+from filbertlift_core import env
+from filbertlift_core import exceptions
+from filbertlift_node import __main__ as main
+from filbertlift_node import metrics
+from filbertlift_node import settings
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "operations.md"
+GOOD = {
+    "region": "north-is",
+    "data_centre": "hamilton",
+    "service": "yards",
+    "listen": "0.0.0.0:8080",
+    "link": "10.0.0.7:9100",
+    "status": "10.0.0.7:9200",
+    "target": "127.0.0.1:8000",
+    "secrets": "one",
+}
+REFUSED = [
+    ("cluster", "Main"),
+    ("region", ""),
+    ("data_centre", "a/b"),
+    # The roster of that name has another use.
+    ("data_centre", "all"),
+    ("service", "Yards"),
+    ("listen", "localhost:8080"),
+    ("link", "0.0.0.0:9100"),
+    ("status", "10.0.0.7:0"),
+    ("target", "127.0.0.1"),
+    ("store", "10.0.0.9:7000"),
+    ("store", "http://10.0.0.9:70000"),
+    ("peers", "10.0.0.8:9100,host"),
+    ("secrets", "one,two,three"),
+    ("region_proxy", "south-is"),
+    ("policy", "lifo"),
+    ("drain_limit", "-1"),
+    ("drain_limit", "nan"),
+    ("leave_notice", "61"),
+    ("start_jitter", "ten"),
+]
+ROWS = {row.name: row for row in settings.TABLE}
+
+
+@pytest.mark.parametrize(("name", "value"), REFUSED)
+def test_refusal_names_setting_value_and_what_is_allowed(
+    name: str, value: str
+) -> None:
+    """Guards against a wrong value that shows only once calls fail."""
+    row = ROWS[name]
+    with pytest.raises(exceptions.SettingError) as caught:
+        settings.NodeSettings.from_sources(
+            GOOD | {name: None}, {row.variable: value}
+        )
+    expected = f"{row.flag} is {value!r}; allowed: {row.allowed}"
+    assert caught.value.message == expected
+
+
+def test_every_setting_has_a_refused_value() -> None:
+    """Guards against a new setting without a check."""
+    assert {name for name, _ in REFUSED} == ROWS.keys()
+
+
+def test_good_settings_are_taken() -> None:
+    flags = GOOD | {
+        "peers": "10.0.0.8:9100, 10.0.0.9:9100",
+        "secrets": "new,old",
+        "region_proxy": "south-is=10.0.0.1:3128",
+        "store": "http://10.0.0.9:7000",
+    }
+    made = settings.NodeSettings.from_sources(flags, {})
+    assert [item.host for item in made.peers] == ["10.0.0.8", "10.0.0.9"]
+    assert made.secrets == (b"new", b"old")
+    assert str(made.find_proxy("south-is")) == "10.0.0.1:3128"
+    assert made.find_proxy("north-is") is None
+
+
+def test_wrong_settings_end_with_the_status_of_wrong_use(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a supervisor that restarts what cannot start."""
+    monkeypatch.setattr(main.logs, "start_logs", lambda: None)
+    assert main.serve({**GOOD, "link": "here"}) == env.EXIT_USAGE
+    assert "--link is 'here'; allowed: an IP address" in capsys.readouterr().err
+
+
+def test_unknown_flag_ends_with_the_status_of_wrong_use(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against status 2, which the binary used to end with."""
+    monkeypatch.setattr("sys.argv", ["filbertlift-node", "--no-such"])
+    with pytest.raises(SystemExit) as caught:
+        main.run()
+    assert caught.value.code == env.EXIT_USAGE
+    assert "--no-such" in capsys.readouterr().err
+
+
+def test_page_describes_every_setting() -> None:
+    """Guards against a page that falls behind the table of settings."""
+    text = PAGE.read_text(encoding="utf-8")
+    for row in settings.TABLE:
+        start = text.index(f"| `{row.flag}` | `{row.variable}` |")
+        line = text[start : text.index("\n", start)]
+        assert row.default is None or f"`{row.default}`" in line, line
+
+
+def test_page_describes_every_metric() -> None:
+    """Guards against a page that falls behind the metrics."""
+    text = PAGE.read_text(encoding="utf-8")
+    rendered = metrics.NodeMetrics.create().render().decode()
+    for family in parser.text_string_to_metric_families(rendered):
+        if family.name.endswith("_created"):
+            continue
+        name = family.name + ("_total" if family.type == "counter" else "")
+        assert f"| `{name}` |" in text, name
