--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -4,14 +4,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
-from zope.interface import implementer
 
 from filbertlift_core import logs
 from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
 
@@ -21,17 +20,18 @@
 Reply = replies.Reply
 Handler = Callable[[http.Request, replies.Reply], None]
 SWEEP_INTERVAL_S = 1.0
+# Time for a refused caller to read the answer and close.
+LINGER_S = 5.0
 _JSON = (http.Header("Content-Type", "application/json"),)
 
 
-@implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; requests are answered in order."""
 
     transport: Any
 
     def __init__(self, server: "HttpServer") -> None:
-        self.is_full = False
+        self.output: outputs.Output
         self._server = server
         self._waiting: collections.deque[requests.Parsed] = collections.deque()
         self._reply: replies.Reply | None = None
@@ -40,6 +40,7 @@
         self._since = server.read_time()
         self._was_idle = True
         self._is_closing = False
+        self._is_refused = False
         self._is_reading = True
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -48,8 +49,7 @@
         self._reader = requests.RequestReader(
             self._server.limits, model.Address(peer.host, peer.port)
         )
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
             self._refuse(503, "FL-HTTP-FULL", "too many connections")
 
@@ -67,7 +67,7 @@
             self._since = self._server.read_time()
         if self._reader.wants_continue and self._reply is None:
             self._reader.wants_continue = False
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         for parsed in found:
             self._waiting.append(parsed)
         self._serve_next()
@@ -83,19 +83,9 @@
         if reply is not None:
             reply.drop()
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """The transport has enough unsent bytes."""
-        self.is_full = True
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """The transport takes bytes again."""
-        self.is_full = False
-        reply = self._reply
-        if reply is not None and reply.on_drained is not None:
-            reply.on_drained()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """The connection is gone; `connectionLost` follows."""
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Calls the function at the end of this turn of the reactor."""
+        self._server.reactor.callLater(0, function)
 
     def end_reply(self, reply: replies.Reply, keep: bool) -> None:
         """The answer is complete; serves the next request or closes."""
@@ -118,7 +108,7 @@
         spent = now - self._since
         if self._is_closing:
             # The peer does not read the last answer or does not close.
-            if spent > limits.idle_s:
+            if spent >= (LINGER_S if self._is_refused else limits.idle_s):
                 self.transport.abortConnection()
         elif self._reply is not None:
             return
@@ -131,7 +121,9 @@
 
     def stop_when_idle(self) -> None:
         """Closes now when idle, else after the answer under way."""
-        if self._reply is None and not self._waiting:
+        if self._reply is not None:
+            self._reply.close_after()
+        elif not self._waiting:
             self._close()
 
     @property
@@ -171,13 +163,24 @@
             connection=self, is_head=False, is_old=False, keep=False
         )
         self._reply = reply
+        # Connections over the limit are closed at once.
+        self._is_refused = status != 503
         reply.send(status, _JSON, http.make_error_body(code, message))
 
     def _close(self) -> None:
         self._is_closing = True
         self._since = self._server.read_time()
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if self._is_refused:
+            # Closing while the caller still sends makes its kernel discard
+            # the answer, so what it sends is read and dropped for a while.
+            self.output.close_sending()
+            return
+        self.output.close()
+
+    def _report_drained(self) -> None:
+        reply = self._reply
+        if reply is not None and reply.on_drained is not None:
+            reply.on_drained()
 
 
 class HttpServer:
