--- /dev/null
+++ b/libs/cli/tests/test_settings.py
@@ -0,0 +1,18 @@
+"""Tests of the table of settings of `filbertlift` and of its page."""
+
+import pathlib
+
+from filbertlift_cli import settings
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "operations.md"
+
+
+def test_page_describes_every_setting() -> None:
+    """Guards against a page that falls behind the table of settings."""
+    page = PAGE.read_text(encoding="utf-8")
+    # The node's table stands before it and has some of the same names.
+    text = page.partition("## Settings of `filbertlift`\n")[2]
+    for row in settings.TABLE:
+        start = text.index(f"| `{row.flag}` | `{row.variable}` | ")
+        line = text[start : text.index("\n", start)]
+        assert not row.default or f"`{row.default}`" in line, line
--- a/libs/node/tests/test_settings.py
+++ b/libs/node/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Tests of the node's settings and of the page that describes them."""
 
 import pathlib
+import re
 
 import prometheus_client.parser as parser
 import pytest
@@ -11,7 +12,9 @@
 from filbertlift_node import metrics
 from filbertlift_node import settings
 
-PAGE = pathlib.Path(__file__).parents[3] / "docs" / "operations.md"
+ROOT = pathlib.Path(__file__).parents[3]
+PAGE = ROOT / "docs" / "operations.md"
+_EVENT = re.compile(r"log_event\(\s*\"([a-z._-]+)\"")
 GOOD = {
     "region": "north-is",
     "data_centre": "hamilton",
@@ -106,7 +109,10 @@
     for row in settings.TABLE:
         start = text.index(f"| `{row.flag}` | `{row.variable}` |")
         line = text[start : text.index("\n", start)]
-        assert row.default is None or f"`{row.default}`" in line, line
+        default = "required" if row.default is None else "empty"
+        if row.default:
+            default = f"`{row.default}`"
+        assert f" {default} |" in line, line
 
 
 def test_page_describes_every_metric() -> None:
@@ -118,3 +124,22 @@
             continue
         name = family.name + ("_total" if family.type == "counter" else "")
         assert f"| `{name}` |" in text, name
+
+
+def test_page_describes_every_event_of_the_log() -> None:
+    """Guards against a log line that no page explains."""
+    text = PAGE.read_text(encoding="utf-8")
+    events: set[str] = set()
+    for path in sorted(ROOT.glob("libs/*/src/**/*.py")):
+        events.update(_EVENT.findall(path.read_text(encoding="utf-8")))
+    assert "node.started" in events
+    assert not {event for event in events if f"`{event}`" not in text}
+
+
+def test_page_describes_every_field_of_the_dump() -> None:
+    """Guards against a dump with fields that no page explains."""
+    text = PAGE.read_text(encoding="utf-8")
+    source = (ROOT / "libs/node/src/filbertlift_node/dump.py").read_text()
+    fields = set(re.findall(r"\"([a-z_]+)\":", source))
+    assert "freshness_age_s" in fields
+    assert not {field for field in fields if f"`{field}`" not in text}
--- a/libs/transport/tests/test_client.py
+++ b/libs/transport/tests/test_client.py
@@ -2,9 +2,6 @@
 
 from typing import Any
 
-from filbertlift_core import model
-from filbertlift_transport import client
-from filbertlift_transport import http
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -12,6 +9,10 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from filbertlift_core import model
+from filbertlift_transport import client
+from filbertlift_transport import http
+
 ADDRESS = model.Address("127.0.0.1", 8_080)
 OK = b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 5\r\n\r\nhello"
 
--- a/libs/transport/tests/test_link.py
+++ b/libs/transport/tests/test_link.py
@@ -3,6 +3,12 @@
 from typing import Any
 
 import attrs
+import pytest
+from twisted.internet import error as errors
+from twisted.internet import task
+from twisted.internet import testing
+from twisted.python import failure
+
 from filbertlift_core import env
 from filbertlift_core import model
 from filbertlift_transport import exceptions
@@ -10,11 +16,6 @@
 from filbertlift_transport import link
 from filbertlift_wire import frames
 from filbertlift_wire import messages
-import pytest
-from twisted.internet import error as errors
-from twisted.internet import task
-from twisted.internet import testing
-from twisted.python import failure
 
 HERE = model.Address("127.0.0.1", 7_000)
 
--- a/libs/transport/tests/test_outputs.py
+++ b/libs/transport/tests/test_outputs.py
@@ -1,9 +1,10 @@
 """Tests of writing to a connection."""
 
-from filbertlift_transport import outputs
 import pytest
 from twisted.internet import testing
 
+from filbertlift_transport import outputs
+
 
 class FakeSocket:
     """Takes as many bytes as it has room for."""
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable
 
 import attrs
-from filbertlift_core import model
-from filbertlift_transport import http
-from filbertlift_transport import server
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 from twisted.internet import testing
 
+from filbertlift_core import model
+from filbertlift_transport import http
+from filbertlift_transport import server
+
 ADDRESS = model.Address("127.0.0.1", 8_080)
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 JSON = (http.Header("Content-Type", "application/json"),)
