--- a/libs/cli/src/filbertlift_cli/settings.py
+++ b/libs/cli/src/filbertlift_cli/settings.py
@@ -13,13 +13,6 @@
 _NAME = "1 to 63 of a-z, 0-9 and -"
 
 
-def parse_url(text: str) -> str:
-    """Returns the URL of a store; raises ValueError."""
-    if not text.startswith(("http://", "https://")) or len(text) < 9:
-        raise ValueError(text)
-    return text
-
-
 def parse_publication(text: str) -> str:
     """Returns the id of a publication, or an empty text for a new one."""
     if not text:
@@ -32,7 +25,7 @@
 
 TABLE = (
     settings.Setting(
-        "store", parse_url, None, "a URL such as http://10.0.0.1:7000",
+        "store", settings.parse_url, None, "a URL such as http://10.0.0.1:7000",
         "URL of the platform's store.",
     ),
     settings.Setting(
--- a/libs/core/src/filbertlift_core/settings.py
+++ b/libs/core/src/filbertlift_core/settings.py
@@ -8,12 +8,12 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
+from urllib import parse as url_parse
 
 import attrs
 
 from filbertlift_core import env
 from filbertlift_core import exceptions
-from filbertlift_core import model
 
 Parser = Callable[[str], Any]
 
@@ -79,13 +79,18 @@
     return text
 
 
-def parse_addresses(text: str) -> tuple[model.Address, ...]:
-    """Returns the addresses of a comma-separated list, which may be empty."""
-    return tuple(
-        model.Address.parse(part.strip())
-        for part in text.split(",")
-        if part.strip()
-    )
+def parse_url(text: str) -> str:
+    """Returns an http or https URL; raises ValueError.
+
+    The port is checked here: a wrong one would show only at the first
+    request, as a failure that may have had an effect.
+    """
+    url = url_parse.urlsplit(text)
+    if url.scheme not in ("http", "https") or not url.hostname:
+        raise ValueError(text)
+    if url.port == 0 or url.query or url.fragment:
+        raise ValueError(text)
+    return text
 
 
 def read_settings(
--- a/libs/node/src/filbertlift_node/settings.py
+++ b/libs/node/src/filbertlift_node/settings.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 import ipaddress
-from urllib import parse
 
 import attrs
 
@@ -46,15 +45,7 @@
 
 def parse_store(text: str) -> str:
     """Returns the URL of a store, or the empty text; raises ValueError."""
-    if not text:
-        return text
-    url = parse.urlsplit(text)
-    if url.scheme not in ("http", "https") or not url.hostname or url.query:
-        raise ValueError(text)
-    # Reading the port checks it.
-    if url.port == 0:
-        raise ValueError(text)
-    return text
+    return settings.parse_url(text) if text else text
 
 
 def parse_data_centre(text: str) -> str:
@@ -114,7 +105,7 @@
         "data_centre",
         parse_data_centre,
         None,
-        f"{_NAME}; not {RESERVED_DATA_CENTRE}",
+        f"{_NAME}, not {RESERVED_DATA_CENTRE}",
         "Data centre of the host.",
     ),
     settings.Setting(
