Bound stalled answers and keep links and stops from cutting off calls

A server that is asked to stop lets a request that is half received arrive. A handler that fails on one message is logged and does not end the other calls of the link.

--- a/libs/transport/src/filbertlift_transport/http.py
+++ b/libs/transport/src/filbertlift_transport/http.py
@@ -53,7 +53,8 @@
         connections: connections at once; one more is answered 503.
         head_s: time to send a whole head.
         body_s: time to send a whole body.
-        idle_s: time without a request on a connection.
+        idle_s: time without a request on a connection, or in which a caller
+            reads nothing of its answer.
     """
 
     head_bytes: int = 32_768
--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -222,7 +222,7 @@
 
     def _receive(self, message: messages.Message) -> None:
         if self.is_up:
-            self._events.on_message(self, message)
+            self._hand_on(message)
             return
         handshake = self._handshake
         for answer in handshake.receive(message):
@@ -235,7 +235,19 @@
             return
         self._state.accept()
         if self.is_opener:
+            self._hand_on(message)
+
+    def _hand_on(self, message: messages.Message) -> None:
+        try:
             self._events.on_message(self, message)
+        except Exception as error:
+            # A fault in handling one message must not end the other calls
+            # on the link.
+            logs.log_event(
+                "link.handler-failed",
+                message=type(message).__name__,
+                error=repr(error),
+            )
 
     # Timers and writing.
 
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -38,7 +38,7 @@
         self._reader: requests.RequestReader
         # Since when the caller owes the next head, its rest, or a body.
         self._since = server.read_time()
-        self._was_idle = True
+        self._full_since: float | None = None
         self._is_closing = False
         self._is_refused = False
         self._is_reading = True
@@ -106,26 +106,39 @@
         """Closes the connection of a caller that is too slow or idle."""
         limits = self._server.limits
         spent = now - self._since
-        if self._is_closing:
+        if self._reply is not None:
+            self._check_reading(now)
+        elif self._is_closing:
             # The peer does not read the last answer or does not close.
             if spent >= (LINGER_S if self._is_refused else limits.idle_s):
                 self.transport.abortConnection()
-        elif self._reply is not None:
-            return
         elif self._reader.is_in_head and spent >= limits.head_s:
             self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
         elif self._reader.is_in_body and spent >= limits.body_s:
             self._refuse(408, "FL-HTTP-SLOW", "request body took too long")
-        elif self._phase == (False, False) and spent >= limits.idle_s:
+        elif self._is_idle and spent >= limits.idle_s:
             self._close()
 
     def stop_when_idle(self) -> None:
-        """Closes now when idle, else after the answer under way."""
+        """Closes now when idle, else after the request under way."""
         if self._reply is not None:
             self._reply.close_after()
-        elif not self._waiting:
+        elif self._is_idle and not self._waiting:
             self._close()
 
+    def _check_reading(self, now: float) -> None:
+        """Closes the connection of a caller that does not read its answer."""
+        if not self.output.is_full:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
+        elif now - self._full_since >= self._server.limits.idle_s:
+            self.transport.abortConnection()
+
+    @property
+    def _is_idle(self) -> bool:
+        return self._phase == (False, False)
+
     @property
     def _phase(self) -> tuple[bool, bool]:
         return self._reader.is_in_head, self._reader.is_in_body
@@ -178,6 +191,7 @@
         self.output.close()
 
     def _report_drained(self) -> None:
+        self._full_since = None
         reply = self._reply
         if reply is not None and reply.on_drained is not None:
             reply.on_drained()
--- a/libs/transport/tests/test_link.py
+++ b/libs/transport/tests/test_link.py
@@ -209,6 +209,20 @@
     assert left.reasons == ["silent"]
 
 
+def test_a_failing_handler_keeps_the_link() -> None:
+    """Guards against one faulty message that ends every call on a link."""
+    clock = task.Clock()
+    left, right = make_pair(clock)
+    right.found = None  # type: ignore[assignment]
+    left.link.send(messages.Fetch(1))
+    exchange(left, right, clock)
+    right.found = []
+    left.link.send(messages.Fetch(2))
+    exchange(left, right, clock)
+    assert right.found == [messages.Fetch(2)]
+    assert right.downs == []
+
+
 def test_closing_reports_once() -> None:
     """Guards against settling the calls of a link twice."""
     left, _ = make_pair(task.Clock())
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -43,7 +43,7 @@
         transport.loseWriteConnection = lambda: setattr(
             transport, "is_write_closed", True
         )
-        transport.is_write_closed = False
+        transport.is_write_closed = transport.disconnected = False
         connection.makeConnection(transport)
         self.last = connection
         return connection.dataReceived, transport
@@ -239,6 +239,32 @@
     assert busy.disconnecting
 
 
+def test_stopping_lets_a_request_arrive() -> None:
+    """Guards against a planned stop that leaves a caller without answer."""
+    receive, transport = (desk := Desk()).connect()
+    receive(GET[:10])
+    desk.server.stop_accepting()
+    assert not transport.disconnecting
+    receive(GET[10:])
+    desk.replies[0].send(503, (), b"")
+    assert b"Connection: close" in transport.value()
+    assert transport.disconnecting
+
+
+def test_a_caller_that_reads_nothing_is_closed() -> None:
+    """Guards against streams that wait for ever behind a full socket."""
+    receive, transport = (desk := Desk()).connect()
+    receive(GET)
+    desk.last.output.is_full = True
+    desk.clock.pump([1.0] * int(LIMITS.idle_s))
+    desk.last.output.resumeProducing()
+    desk.last.output.is_full = True
+    desk.clock.pump([1.0] * int(LIMITS.idle_s))
+    assert not transport.disconnected
+    desk.clock.pump([1.0] * 2)
+    assert transport.disconnected
+
+
 def test_old_callers_and_head_requests() -> None:
     desk = Desk()
     receive, transport = desk.connect()
