Take and send request bodies over 1 MB in parts

An addition: Limits.upload_bytes (0 as before) lets the server hand on a request with a declared length over body_bytes before its body, which arrives by Upload with pause and resume; HttpPool.request takes a length and ClientCall.write the rest of the body. A stalled upload is dropped after body_s, and a connection with an unfinished request is not used again.

--- a/libs/transport/src/filbertlift_transport/client.py
+++ b/libs/transport/src/filbertlift_transport/client.py
@@ -1,14 +1,13 @@
 """Pooled HTTP client of the call path."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
 
-import attrs
 from filbertlift_core import model
 from twisted.internet import protocol
 from twisted.python import failure
 
+from filbertlift_transport import clientcall
 from filbertlift_transport import http
 from filbertlift_transport import outputs
 from filbertlift_transport import responses
@@ -20,101 +19,9 @@
 MAX_HEAD_BYTES = 32_768
 
 
-@attrs.frozen
-class ClientFailure:
-    """Why a request got no complete answer.
-
-    Attributes:
-        reason: `connect-failed`, `pool-full`, `pool-closed`, `lost`,
-            `truncated`, `malformed`, `head-too-large` or `no-length`.
-        message: what happened, in one sentence.
-        sent: whether any byte of the request may have reached the target.
-    """
-
-    reason: str
-    message: str
-    sent: bool
-
-
-@attrs.frozen
-class ClientEvents:
-    """Functions that a call of the client calls.
-
-    Attributes:
-        on_head: status, headers and length of the body if it is known.
-        on_data: part of the body.
-        on_end: the body is complete.
-        on_failure: no complete answer will arrive; last event of the call.
-    """
-
-    on_head: Callable[[int, tuple[http.Header, ...], int | None], None]
-    on_data: Callable[[bytes], None]
-    on_end: Callable[[], None]
-    on_failure: Callable[[ClientFailure], None]
-
-
-class ClientCall:
-    """One request on one connection of the pool."""
-
-    def __init__(
-        self, request: bytes, is_head: bool, events: ClientEvents
-    ) -> None:
-        self.request = request
-        self.is_head = is_head
-        self.events = events
-        self.is_over = False
-        self.is_paused = False
-        self._connection: ClientConnection | None = None
-        self._is_sent = False
-
-    def attach(self, connection: "ClientConnection") -> None:
-        """Remembers the connection that carries the call."""
-        self._connection = connection
-
-    def send(self, output: outputs.Output) -> None:
-        """Writes the request."""
-        self._is_sent = True
-        output.write(self.request)
-        if self.is_paused and self._connection is not None:
-            self._connection.transport.pauseProducing()
-
-    def cancel(self) -> None:
-        """Ends the call without further events; closes its connection."""
-        if self.is_over:
-            return
-        self.is_over = True
-        if self._connection is not None:
-            self._connection.drop()
-
-    def pause(self) -> None:
-        """Stops reading the answer."""
-        if self.is_over or self.is_paused:
-            return
-        self.is_paused = True
-        if self._is_sent and self._connection is not None:
-            self._connection.transport.pauseProducing()
-
-    def resume(self) -> None:
-        """Reads the answer again."""
-        if self.is_over or not self.is_paused:
-            return
-        self.is_paused = False
-        if self._is_sent and self._connection is not None:
-            self._connection.transport.resumeProducing()
-
-    def end(self) -> None:
-        """The answer is complete."""
-        self.is_over = True
-        self._connection = None
-        self.events.on_end()
-
-    def fail(self, reason: str, message: str) -> None:
-        """The answer will not be complete."""
-        if self.is_over:
-            return
-        self.is_over = True
-        self._connection = None
-        self.events.on_failure(ClientFailure(reason, message, self._is_sent))
+ClientCall = clientcall.ClientCall
+ClientEvents = clientcall.ClientEvents
+ClientFailure = clientcall.ClientFailure
 
 
 class ClientConnection(protocol.Protocol):
@@ -170,7 +77,7 @@
         if self._is_closed:
             self.transport.abortConnection()
             return
-        self._output = outputs.Output(self.transport, lambda: None)
+        self._output = outputs.Output(self.transport, self._report_drained)
         if self._call is not None:
             self._send(self._call)
 
@@ -199,14 +106,31 @@
         code = "truncated" if self._reader.has_head else "lost"
         self._finish(code, reason.getErrorMessage())
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the socket takes no more bytes for now."""
+        return self._output.is_full
+
+    def write(self, data: bytes) -> None:
+        """Sends part of a request."""
+        self._output.write(data)
+
+    def _report_drained(self) -> None:
+        call = self._call
+        if call is not None and call.on_drained is not None:
+            call.on_drained()
+
     def _send(self, call: ClientCall) -> None:
         self._reader.start(call)
         call.send(self._output)
+        if not call.is_whole:
+            self._report_drained()
 
     def _end_call(self) -> None:
         call, self._call = self._call, None
         assert call is not None
-        if not self._reader.keeps_alive or call.is_paused:
+        is_clean = call.is_whole and not call.is_paused
+        if not self._reader.keeps_alive or not is_clean:
             self.drop()
         else:
             self._pool.put_idle(self)
@@ -278,17 +202,30 @@
         headers: Iterable[http.Header],
         body: bytes,
         events: ClientEvents,
+        length: int | None = None,
     ) -> ClientCall:
         """Sends a request; a failure before that is reported by event.
 
+        Args:
+            method: HTTP method.
+            path: target with query.
+            headers: headers without framing.
+            body: the body or its first part.
+            events: functions that the call calls.
+            length: bytes of the whole body when `ClientCall.write` sends the
+                rest of it.
+
         Raises:
             ValueError: if the target or a header contains a line break.
         """
+        size = len(body) if length is None else length
         framing = self._host
-        if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-            framing += f"Content-Length: {len(body)}\r\n"
+        if size or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            framing += f"Content-Length: {size}\r\n"
         head = http.make_head(f"{method} {path} HTTP/1.1", headers, framing)
-        call = ClientCall(head + body, method == "HEAD", events)
+        call = ClientCall(
+            head + body, method == "HEAD", events, size - len(body)
+        )
         if self._is_closed:
             self._fail_soon(call, "pool-closed", "the pool is closed")
         elif self._idle:
--- a/libs/transport/src/filbertlift_transport/http.py
+++ b/libs/transport/src/filbertlift_transport/http.py
@@ -7,6 +7,8 @@
 from filbertlift_core import model
 from filbertlift_wire import messages
 
+from filbertlift_transport import uploads
+
 Header = messages.Header
 
 # Each connection has its own framing; these never travel from one to another.
@@ -49,7 +51,9 @@
 
     Attributes:
         head_bytes: request line and headers.
-        body_bytes: body of one request.
+        body_bytes: body of one request that is collected.
+        upload_bytes: body of one request that arrives in parts. It needs a
+            declared length over `body_bytes`; 0 refuses such requests.
         connections: connections at once; one more is answered 503.
         head_s: time to send a whole head.
         body_s: time to send a whole body.
@@ -59,6 +63,7 @@
 
     head_bytes: int = 32_768
     body_bytes: int = 1_048_576
+    upload_bytes: int = 0
     connections: int = 2_000
     head_s: float = 10.0
     body_s: float = 30.0
@@ -67,14 +72,15 @@
 
 @attrs.frozen
 class Request:
-    """A whole request.
+    """A request.
 
     Attributes:
         method: method in upper case.
         path: target as received, with the query.
         headers: values by lower-case name; repeated ones are joined.
-        body: the whole body.
+        body: the whole body, empty if there is an upload.
         peer: address of the caller.
+        upload: the body, if it arrives in parts.
     """
 
     method: str
@@ -82,6 +88,7 @@
     headers: dict[str, str]
     body: bytes
     peer: model.Address
+    upload: uploads.Upload | None = None
 
 
 def make_head(
--- a/libs/transport/src/filbertlift_transport/requests.py
+++ b/libs/transport/src/filbertlift_transport/requests.py
@@ -7,6 +7,7 @@
 import httptools
 
 from filbertlift_transport import http
+from filbertlift_transport import uploads
 
 
 class RefusedError(Exception):
@@ -38,6 +39,8 @@
 
     _limits: http.Limits
     _peer: model.Address
+    _transport: Any
+    upload: uploads.Upload | None = None
     is_in_head: bool = False
     is_in_body: bool = False
     wants_continue: bool = False
@@ -112,14 +115,21 @@
         """The head is complete."""
         self.is_in_head = False
         self.is_in_body = True
-        length = self._headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self._limits.body_bytes:
-            raise _refuse_body()
+        text = self._headers.get("content-length", "0")
+        length = int(text) if text.isdigit() else 0
+        if length > self._limits.body_bytes:
+            if length > self._limits.upload_bytes:
+                raise _refuse_body()
+            self.upload = uploads.Upload(length, self._transport)
+            self._add_request(b"")
         if self._headers.get("expect", "").lower() == "100-continue":
             self.wants_continue = True
 
     def on_body(self, data: bytes) -> None:
         """Part of the body arrived."""
+        if self.upload is not None:
+            self.upload.receive(data)
+            return
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
             raise _refuse_body()
@@ -129,13 +139,21 @@
         """The request is complete."""
         self.is_in_body = False
         self.wants_continue = False
+        upload, self.upload = self.upload, None
+        if upload is not None:
+            upload.end()
+            return
+        self._add_request(b"".join(self._body))
+
+    def _add_request(self, body: bytes) -> None:
         parser = self._parser
         request = http.Request(
             method=parser.get_method().decode("latin-1"),
             path=self._url.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=body,
             peer=self._peer,
+            upload=self.upload,
         )
         self._found.append(
             Parsed(
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -13,6 +13,7 @@
 from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
+from filbertlift_transport import uploads
 
 Header = http.Header
 Limits = http.Limits
@@ -36,6 +37,8 @@
         self._waiting: collections.deque[requests.Parsed] = collections.deque()
         self._reply: replies.Reply | None = None
         self._reader: requests.RequestReader
+        # Body of the request under way, if it arrives in parts.
+        self._upload: uploads.Upload | None = None
         # Since when the caller owes the next head, its rest, or a body.
         self._since = server.read_time()
         self._full_since: float | None = None
@@ -47,7 +50,9 @@
         """Prepares the connection, or refuses one too many."""
         peer = self.transport.getPeer()
         self._reader = requests.RequestReader(
-            self._server.limits, model.Address(peer.host, peer.port)
+            self._server.limits,
+            model.Address(peer.host, peer.port),
+            self.transport,
         )
         self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
@@ -63,7 +68,7 @@
         except requests.RefusedError as error:
             self._refuse(error.status, error.code, error.message)
             return
-        if found or self._phase != was:
+        if found or self._phase != was or self._reader.upload:
             self._since = self._server.read_time()
         if self._reader.wants_continue and self._reply is None:
             self._reader.wants_continue = False
@@ -92,15 +97,18 @@
         if reply is not self._reply:
             return
         self._reply = None
+        upload, self._upload = self._upload, None
+        if upload is not None and not upload.is_over:
+            # Answered before the body arrived; the rest is of no use.
+            upload.resume()
+            self._is_refused = True
+            keep = False
         if not keep or self._server.is_stopping:
             self._close()
             return
         self._since = self._server.read_time()
         if self._waiting:
             self._server.reactor.callLater(0, self._serve_next)
-        elif not self._is_reading:
-            self._is_reading = True
-            self.transport.resumeProducing()
 
     def check_time(self, now: float) -> None:
         """Closes the connection of a caller that is too slow or idle."""
@@ -108,6 +116,10 @@
         spent = now - self._since
         if self._reply is not None:
             self._check_reading(now)
+            upload = self._upload
+            is_owed = upload is not None and not upload.is_suspended
+            if is_owed and spent >= limits.body_s:
+                self.transport.abortConnection()
         elif self._is_closing:
             # The peer does not read the last answer or does not close.
             if spent >= (LINGER_S if self._is_refused else limits.idle_s):
@@ -147,10 +159,13 @@
         if self._reply is not None or self._is_closing or not self._waiting:
             return
         parsed = self._waiting.popleft()
+        # Requests already received are answered before more are read.
         if self._waiting and self._is_reading:
-            # Requests already received are answered before more are read.
             self._is_reading = False
             self.transport.pauseProducing()
+        elif not self._waiting and not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
         reply = replies.Reply(
             connection=self,
             is_head=parsed.request.method == "HEAD",
@@ -158,6 +173,7 @@
             keep=parsed.keep and not self._server.is_stopping,
         )
         self._reply = reply
+        self._upload = parsed.request.upload
         try:
             self._server.handle(parsed.request, reply)
         except Exception as error:
--- a/libs/transport/tests/test_client.py
+++ b/libs/transport/tests/test_client.py
@@ -207,6 +207,50 @@
     assert desk.pool.idle == 1
 
 
+def start_parts(desk: Desk) -> Any:
+    return desk.pool.request(
+        "POST",
+        "/a",
+        (),
+        b"ab",
+        client.ClientEvents(
+            on_head=lambda *head: desk.events.append(head),
+            on_data=desk.events.append,
+            on_end=lambda: desk.events.append("end"),
+            on_failure=desk.failures.append,
+        ),
+        length=6,
+    )
+
+
+def test_bodies_are_sent_in_parts() -> None:
+    desk = Desk()
+    call = start_parts(desk)
+    drained: list[int] = []
+    call.on_drained = lambda: drained.append(1)
+    assert call.is_full
+    call.write(b"cd")
+    connection, transport = desk.connect()
+    assert (call.is_full, drained) == (False, [1])
+    call.write(b"ef")
+    assert transport.value().endswith(b"Content-Length: 6\r\n\r\nabcdef")
+    with pytest.raises(ValueError, match="longer"):
+        call.write(b"g")
+    connection.dataReceived(OK)
+    assert (desk.events[-1], desk.pool.idle) == ("end", 1)
+
+
+def test_an_unfinished_request_is_not_followed_by_another() -> None:
+    """Guards against the next request being read as the rest of a body."""
+    desk = Desk()
+    start_parts(desk)
+    connection, transport = desk.connect()
+    connection.dataReceived(OK)
+    assert desk.events[-1] == "end"
+    assert transport.disconnecting
+    assert desk.pool.connections == 0
+
+
 @given(st.binary(max_size=80), st.integers(0, len(OK)))
 def test_hostile_answers_never_raise(data: bytes, cut: int) -> None:
     """Guards against an unhandled error on hostile bytes."""
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -265,6 +265,62 @@
     assert transport.disconnected
 
 
+def start_upload(desk: Desk) -> tuple:
+    receive, transport = desk.connect()
+    receive(GET + b"POST /b HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + b"ab")
+    desk.replies[0].send(200, (), b"")
+    desk.clock.advance(0)
+    transport.clear()
+    return receive, transport
+
+
+UPLOADS = attrs.evolve(LIMITS, upload_bytes=4_000)
+
+
+def test_large_bodies_arrive_in_parts_after_earlier_requests() -> None:
+    """Guards against a body that is collected or waits for its answer."""
+    desk = Desk(UPLOADS)
+    receive, transport = start_upload(desk)
+    assert transport.producerState == "producing"
+    upload = desk.requests[1].upload
+    assert upload is not None
+    parts: list[bytes] = []
+    ends: list[int] = []
+    upload.start(parts.append, lambda: ends.append(1))
+    upload.pause()
+    assert transport.producerState == "paused"
+    upload.resume()
+    receive(bytes(3_997))
+    assert (b"".join(parts)[:2], ends) == (b"ab", [])
+    receive(b"z" + GET)
+    assert (sum(map(len, parts)), ends) == (4_000, [1])
+    desk.replies[1].send(200, (), b"done")
+    desk.clock.advance(0)
+    assert transport.value().endswith(b"done")
+    assert desk.requests[2].path == "/a"
+
+
+def test_an_upload_that_is_answered_early_ends_the_connection() -> None:
+    """Guards against a body that is read as the next request."""
+    desk = Desk(UPLOADS)
+    receive, transport = start_upload(desk)
+    desk.replies[1].send(503, (), b"no")
+    assert transport.is_write_closed
+    receive(bytes(3_998) + GET)
+    assert len(desk.requests) == 2
+
+
+def test_a_stalled_upload_is_dropped() -> None:
+    desk = Desk(UPLOADS)
+    start_upload(desk)
+    gone: list[int] = []
+    desk.replies[1].on_gone = lambda: gone.append(1)
+    desk.clock.pump([1.0] * int(LIMITS.body_s + 1))
+    assert desk.last.transport.disconnected
+    desk.last.connectionLost()
+    assert gone == [1]
+
+
 def test_old_callers_and_head_requests() -> None:
     desk = Desk()
     receive, transport = desk.connect()
