--- /dev/null
+++ b/libs/standins/src/filbertlift_standins/link.py
@@ -0,0 +1,153 @@
+"""Stand-in for the network between two regions.
+
+Connections from the near region enter at one address and connections from
+the far region at another, both by HTTP CONNECT; fixed forwards serve clients
+in the far region that know no proxy. All share one lane for each direction.
+"""
+
+from collections import Counter
+from typing import Any
+
+import attrs
+from twisted.internet import reactor as default_reactor
+import typer
+
+from filbertlift_core import env
+from filbertlift_core import exceptions
+from filbertlift_core import model
+from filbertlift_standins import lanes
+from filbertlift_standins import tunnels
+from filbertlift_standins import web
+
+
+@attrs.define
+class Faults:
+    """Faults of the link; all can be changed at run time.
+
+    Outward is from the near to the far region, inward the reverse.
+
+    Attributes:
+        delay_out_s: delay outward, seconds.
+        delay_in_s: delay inward, seconds.
+        rate_out_bps: bits a second outward; 0 for no limit.
+        rate_in_bps: bits a second inward; 0 for no limit.
+        part: whether connections are reset and new ones refused.
+        silence: set to `both`, `out` or `in` to let the connections that
+            exist carry nothing for good in that direction.
+    """
+
+    delay_out_s: float = 0.0
+    delay_in_s: float = 0.0
+    rate_out_bps: float = 0.0
+    rate_in_bps: float = 0.0
+    part: bool = False
+    silence: str = ""
+
+
+class Link:
+    """The two lanes and the connections that use them."""
+
+    def __init__(self, reactor: Any, faults: Faults) -> None:
+        self.clock = reactor
+        self.faults = faults
+        self.counters: Counter[str] = Counter()
+        self.destinations: Counter[str] = Counter()
+        self.entrances: set[tunnels.Entrance] = set()
+        self.outward = lanes.Lane(
+            reactor,
+            lambda: faults.delay_out_s,
+            lambda: faults.rate_out_bps,
+        )
+        self.inward = lanes.Lane(
+            reactor, lambda: faults.delay_in_s, lambda: faults.rate_in_bps
+        )
+
+    @property
+    def parted(self) -> bool:
+        """Whether connections are refused."""
+        return self.faults.part
+
+    def connect(
+        self, address: model.Address, outward: bool, factory: Any
+    ) -> None:
+        """Connects to a destination after one delay of the link."""
+        faults = self.faults
+        delay_s = faults.delay_out_s if outward else faults.delay_in_s
+        self.clock.callLater(
+            delay_s,
+            self.clock.connectTCP,
+            address.host,
+            address.port,
+            factory,
+            timeout=5,
+        )
+
+    def handle(self, exchange: web.Exchange) -> None:
+        """Answers the pages for faults and counters."""
+        path = exchange.request.path
+        if path == "/-/faults":
+            web.answer_faults(exchange, self.faults, self.apply_faults)
+        elif path == "/-/counters":
+            exchange.respond_json(self.count())
+        else:
+            exchange.respond(404)
+
+    def count(self) -> dict[str, Any]:
+        """Returns bytes carried in all, each way and by destination."""
+        return {
+            "bytes_out": self.outward.sent_bytes,
+            "bytes_in": self.inward.sent_bytes,
+            "destinations": dict(self.destinations),
+            "open": len(self.entrances),
+        } | dict(self.counters)
+
+    def apply_faults(self) -> None:
+        """Resets or silences the connections that exist."""
+        direction, self.faults.silence = self.faults.silence, ""
+        for entrance in list(self.entrances):
+            if self.faults.part:
+                entrance.abort()
+            elif direction:
+                entrance.silence(direction)
+
+
+def main(
+    near: str = typer.Option(..., help="IP:PORT for the near region."),
+    far: str = typer.Option(..., help="IP:PORT for the far region."),
+    control: str = typer.Option(..., help="IP:PORT of the /-/ pages."),
+    forward: list[str] = typer.Option(
+        [], help="PORT=HOST:PORT, from the far to the near region."
+    ),
+    delay_ms: float = typer.Option(20.0, help="Delay each way."),
+    rate_mbps: float = typer.Option(30.0, help="Limit each way, 0 for none."),
+) -> None:
+    """Runs the link stand-in until it is stopped."""
+    reactor: Any = default_reactor
+    bps = rate_mbps * 1e6
+    link = Link(reactor, Faults(delay_ms / 1000, delay_ms / 1000, bps, bps))
+    try:
+        for text, outward in ((near, True), (far, False)):
+            factory = tunnels.EntranceFactory(link, outward)
+            web.listen(reactor, model.Address.parse(text), factory)
+        for text in forward:
+            port, _, target = text.partition("=")
+            model.Address.parse(target)
+            address = model.Address("127.0.0.1", int(port))
+            web.listen(
+                reactor, address, tunnels.EntranceFactory(link, False, target)
+            )
+        server = web.Server(link.handle)
+        web.listen(reactor, model.Address.parse(control), server)
+    except (ValueError, exceptions.ModelError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(env.EXIT_USAGE) from error
+    reactor.run()
+
+
+def run() -> None:
+    """Entry point of `filbertlift-link-standin`."""
+    typer.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/libs/transport/src/filbertlift_transport/http.py
+++ b/libs/transport/src/filbertlift_transport/http.py
@@ -4,10 +4,10 @@
 import json
 
 import attrs
-from filbertlift_core import model
-from filbertlift_wire import messages
 
+from filbertlift_core import model
 from filbertlift_transport import uploads
+from filbertlift_wire import messages
 
 Header = messages.Header
 
--- a/libs/wire/src/filbertlift_wire/datagrams.py
+++ b/libs/wire/src/filbertlift_wire/datagrams.py
@@ -26,8 +26,7 @@
     Raises:
         WireError: if it is over the limit or a value does not fit.
     """
-    kind = conversion.KINDS[type(message)]
-    header = conversion.encode_header(kind, message)
+    header = conversion.encode_header(message)
     packet = make_digest(secret, header) + header
     if len(packet) > MAX_DATAGRAM_BYTES:
         raise exceptions.WireError("too-large", f"{len(packet)} bytes")
@@ -50,10 +49,7 @@
         for secret in secrets
     ):
         raise exceptions.WireError("other-cluster", "no secret matches")
-    message = conversion.decode_header(header, b"")
-    if message is None:
-        kind, values = conversion.read_header(header)
-        message = conversion.build_record(kind, values)
+    message = conversion.decode_header(header)
     if type(message) not in DATAGRAMS:
         raise exceptions.WireError("unknown-kind", "not a datagram")
     return message
--- a/libs/wire/src/filbertlift_wire/frames.py
+++ b/libs/wire/src/filbertlift_wire/frames.py
@@ -1,32 +1,47 @@
-"""Frames: u32 header length, u32 body length, capnp header, raw body."""
+"""Frames: u8 kind, u32 header length, u32 body length, header, body.
+
+Kind 0 has a capnp header and a raw body. The other kinds are the messages of
+calls, whose body is the whole message, encoded by msgspec: pycapnp takes about
+1 microsecond to set a field and 1.6 to read one, 0.3 ms for the four
+conversions of a call over two hops, of which the target allows 0.53 ms.
+"""
 
 import struct
 from typing import Any
 
+import msgspec
+
+from filbertlift_wire import checks
 from filbertlift_wire import conversion
 from filbertlift_wire import exceptions
 from filbertlift_wire import messages
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 262_144
-LENGTHS = struct.Struct(">II")
-CALL_MESSAGES = frozenset(
-    (
-        messages.Call,
-        messages.Answer,
-        messages.Chunk,
-        messages.Credit,
-        messages.Cancel,
-        messages.Cancelled,
-        messages.Settle,
-        messages.Settled,
-    )
+PREFIX = struct.Struct(">BII")
+CONTROL = 0
+# The position is the kind, so that new ones are appended.
+CALL_MESSAGES = (
+    messages.Call,
+    messages.Answer,
+    messages.Chunk,
+    messages.Credit,
+    messages.Cancel,
+    messages.Cancelled,
+    messages.Settle,
+    messages.Settled,
 )
+_CALL_KINDS = {record: kind for kind, record in enumerate(CALL_MESSAGES, 1)}
+_DECODERS: dict[int, msgspec.msgpack.Decoder[Any]] = {
+    kind: msgspec.msgpack.Decoder(record)
+    for record, kind in _CALL_KINDS.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
 
 
 def is_call_message(message: messages.Message) -> bool:
     """Returns whether a message belongs to a call, not to control."""
-    return type(message) in CALL_MESSAGES
+    return type(message) in _CALL_KINDS
 
 
 def join_frame(header: bytes, body: bytes) -> bytes:
@@ -35,13 +50,9 @@
     Raises:
         WireError: if a part is over its limit.
     """
-    if len(header) > MAX_HEADER_BYTES:
-        raise exceptions.WireError(
-            "too-large", f"header of {len(header)} bytes"
-        )
-    if len(body) > MAX_BODY_BYTES:
-        raise exceptions.WireError("too-large", f"body of {len(body)} bytes")
-    return LENGTHS.pack(len(header), len(body)) + header + body
+    check_size("header", len(header), MAX_HEADER_BYTES)
+    check_size("body", len(body), MAX_BODY_BYTES)
+    return PREFIX.pack(CONTROL, len(header), len(body)) + header + body
 
 
 def encode_message(message: messages.Message) -> bytes:
@@ -50,50 +61,43 @@
     Raises:
         WireError: if a value does not fit its field or a limit is exceeded.
     """
-    kind = conversion.KINDS[type(message)]
-    header = conversion.encode_header(kind, message)
-    if isinstance(message, messages.Update):
-        sections = (section.data for section in message.changed)
-        return join_frame(header, b"".join((message.head, *sections)))
-    return join_frame(header, getattr(message, "body", b""))
-
-
-def split_update(values: dict[str, Any], body: bytes) -> dict[str, Any]:
-    """Returns the fields of an update that travel in the raw body.
-
-    Raises:
-        WireError: if the sizes do not add up to the body.
-    """
-    end = values["headBytes"]
-    fields: dict[str, Any] = {"head": body[:end]}
-    sections = []
-    for section in values["changed"]:
-        start, end = end, end + section["bytes"]
-        sections.append(messages.SectionData(section["name"], body[start:end]))
-    if end != len(body):
-        raise exceptions.WireError("malformed", "sizes differ from the body")
-    fields["changed"] = tuple(sections)
-    return fields
-
-
-def decode_frame(header: bytes, body: bytes) -> messages.Message:
+    call_kind = _CALL_KINDS.get(type(message))
+    if call_kind is None:
+        header = conversion.encode_header(message)
+        return join_frame(header, getattr(message, "body", b""))
+    checks.check_call(message)
+    try:
+        data = _ENCODER.encode(message)
+    except (msgspec.MsgspecError, OverflowError, UnicodeError) as error:
+        raise exceptions.WireError("out-of-range", str(error)) from error
+    content = len(getattr(message, "body", b""))
+    check_size("body", content, MAX_BODY_BYTES)
+    check_size("call", len(data) - content, MAX_HEADER_BYTES)
+    return PREFIX.pack(call_kind, 0, len(data)) + data
+
+
+def check_size(part: str, size: int, limit: int) -> None:
+    """Refuses a part that is over its limit in bytes; raises WireError."""
+    if size > limit:
+        raise exceptions.WireError("too-large", f"{part} of {size} bytes")
+
+
+def decode_frame(kind: int, header: bytes, body: bytes) -> messages.Message:
     """Returns the message of a frame.
 
     Raises:
         WireError: if the frame is malformed.
     """
-    message = conversion.decode_header(header, body)
-    if message is not None:
-        return message
-    kind, values = conversion.read_header(header)
-    if kind.record is messages.Update:
-        raw = split_update(values, body)
-        return conversion.build_record(kind, values, **raw)
-    if kind.has_body:
-        return conversion.build_record(kind, values, body=body)
-    if body:
-        raise exceptions.WireError("malformed", f"{kind.name} has a body")
-    return conversion.build_record(kind, values)
+    if kind == CONTROL:
+        return conversion.decode_header(header, body)
+    decoder = _DECODERS.get(kind)
+    if decoder is None or header:
+        raise exceptions.WireError("unknown-kind", str(kind))
+    try:
+        message: messages.Message = decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        raise exceptions.WireError("malformed", str(error)) from error
+    return message
 
 
 class FrameReader:
@@ -117,7 +121,7 @@
         self.control_bytes = 0
         self._parts: list[bytes] = []
         self._held = 0
-        self._needed = LENGTHS.size
+        self._needed = PREFIX.size
 
     def feed(self, data: bytes) -> list[messages.Message]:
         """Returns the messages completed by these bytes.
@@ -138,37 +142,32 @@
         found: list[messages.Message] = []
         start = 0
         length = len(data)
-        needed = LENGTHS.size
-        while length - start >= LENGTHS.size:
-            header_size, body_size = LENGTHS.unpack_from(data, start)
-            self._check_sizes(header_size, body_size)
-            needed = LENGTHS.size + header_size + body_size
+        needed = PREFIX.size
+        while length - start >= PREFIX.size:
+            kind, header_size, body_size = PREFIX.unpack_from(data, start)
+            self._check_sizes(kind, header_size, body_size)
+            needed = PREFIX.size + header_size + body_size
             if length - start < needed:
                 break
-            middle = start + LENGTHS.size + header_size
+            middle = start + PREFIX.size + header_size
             end = start + needed
             message = decode_frame(
-                data[start + LENGTHS.size : middle], data[middle:end]
+                kind, data[start + PREFIX.size : middle], data[middle:end]
             )
             self._count(message, needed)
             found.append(message)
             start = end
-            needed = LENGTHS.size
+            needed = PREFIX.size
         if start < length:
             self._parts.append(data[start:])
         self._held = length - start
         self._needed = needed
         return found
 
-    def _check_sizes(self, header_size: int, body_size: int) -> None:
-        if header_size > self.max_header_bytes:
-            raise exceptions.WireError(
-                "too-large", f"header of {header_size} bytes"
-            )
-        if body_size > self.max_body_bytes:
-            raise exceptions.WireError(
-                "too-large", f"body of {body_size} bytes"
-            )
+    def _check_sizes(self, kind: int, header_size: int, body_size: int) -> None:
+        extra = MAX_HEADER_BYTES if kind != CONTROL else 0
+        check_size("header", header_size, self.max_header_bytes)
+        check_size("body", body_size, self.max_body_bytes + extra)
 
     def _count(self, message: messages.Message, size: int) -> None:
         if is_call_message(message):
