--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -44,7 +44,7 @@
         transport.loseWriteConnection = lambda: setattr(
             transport, "is_write_closed", True
         )
-        transport.is_write_closed = False
+        transport.is_write_closed = transport.disconnected = False
         connection.makeConnection(transport)
         self.last = connection
         return connection.dataReceived, transport
@@ -240,6 +240,88 @@
     assert busy.disconnecting
 
 
+def test_stopping_lets_a_request_arrive() -> None:
+    """Guards against a planned stop that leaves a caller without answer."""
+    receive, transport = (desk := Desk()).connect()
+    receive(GET[:10])
+    desk.server.stop_accepting()
+    assert not transport.disconnecting
+    receive(GET[10:])
+    desk.replies[0].send(503, (), b"")
+    assert b"Connection: close" in transport.value()
+    assert transport.disconnecting
+
+
+def test_a_caller_that_reads_nothing_is_closed() -> None:
+    """Guards against streams that wait for ever behind a full socket."""
+    receive, transport = (desk := Desk()).connect()
+    receive(GET)
+    desk.last.output.is_full = True
+    desk.clock.pump([1.0] * int(LIMITS.idle_s))
+    desk.last.output.resumeProducing()
+    desk.last.output.is_full = True
+    desk.clock.pump([1.0] * int(LIMITS.idle_s))
+    assert not transport.disconnected
+    desk.clock.pump([1.0] * 2)
+    assert transport.disconnected
+
+
+def start_upload(desk: Desk) -> tuple:
+    receive, transport = desk.connect()
+    receive(GET + b"POST /b HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + b"ab")
+    desk.replies[0].send(200, (), b"")
+    desk.clock.advance(0)
+    transport.clear()
+    return receive, transport
+
+
+UPLOADS = attrs.evolve(LIMITS, upload_bytes=4_000)
+
+
+def test_large_bodies_arrive_in_parts_after_earlier_requests() -> None:
+    """Guards against a body that is collected or waits for its answer."""
+    desk = Desk(UPLOADS)
+    receive, transport = start_upload(desk)
+    assert transport.producerState == "producing"
+    upload = desk.requests[1].upload
+    assert upload is not None
+    parts: list[bytes] = []
+    ends: list[int] = []
+    upload.start(parts.append, lambda: ends.append(1))
+    upload.pause()
+    assert transport.producerState == "paused"
+    upload.resume()
+    receive(bytes(3_997))
+    assert (b"".join(parts)[:2], ends) == (b"ab", [])
+    receive(b"z" + GET)
+    assert (sum(map(len, parts)), ends) == (4_000, [1])
+    desk.replies[1].send(200, (), b"done")
+    desk.clock.advance(0)
+    assert transport.value().endswith(b"done")
+    assert desk.requests[2].path == "/a"
+
+
+def test_an_upload_that_is_answered_early_ends_the_connection() -> None:
+    """Guards against a body that is read as the next request."""
+    desk = Desk(UPLOADS)
+    receive, transport = start_upload(desk)
+    desk.replies[1].send(503, (), b"no")
+    assert transport.is_write_closed
+    receive(bytes(3_998) + GET)
+    assert len(desk.requests) == 2
+
+
+def test_a_stalled_upload_is_dropped() -> None:
+    desk = Desk(UPLOADS)
+    start_upload(desk)
+    gone: list[int] = []
+    desk.replies[1].on_gone = lambda: gone.append(1)
+    desk.clock.pump([1.0] * int(LIMITS.body_s + 1))
+    assert desk.last.transport.disconnected
+    desk.last.connectionLost()
+    assert gone == [1]
+
+
 def test_old_callers_and_head_requests() -> None:
     desk = Desk()
     receive, transport = desk.connect()
