Spare the store at a mass restart and keep secrets out of errors

Cause: a starting node knew only itself, so it watched the store as the gateway of its region: 8 store calls in 4 s whatever start_jitter said. A store that came back empty made a version fresh again. Change: a node without a peer leaves the store alone for 1 s after its jitter; a head below the version in force confirms nothing; secret settings are not shown.

--- a/libs/core/src/filbertlift_core/settings.py
+++ b/libs/core/src/filbertlift_core/settings.py
@@ -28,6 +28,7 @@
         default: text of the default, or None when a value is required.
         allowed: what is allowed, in words, for the error and the docs.
         help: what it does, with its unit.
+        is_secret: whether its value stays out of errors.
     """
 
     name: str
@@ -35,6 +36,7 @@
     default: str | None
     allowed: str
     help: str
+    is_secret: bool = False
 
     @property
     def flag(self) -> str:
@@ -120,8 +122,9 @@
         try:
             values[setting.name] = setting.parse(text)
         except (ValueError, exceptions.ModelError):
+            shown = "not shown" if setting.is_secret else repr(text)
             problems.append(
-                f"{setting.flag} is {text!r}; allowed: {setting.allowed}"
+                f"{setting.flag} is {shown}; allowed: {setting.allowed}"
             )
     if problems:
         raise exceptions.SettingError("; ".join(problems))
--- a/libs/distribution/src/filbertlift_distribution/replica.py
+++ b/libs/distribution/src/filbertlift_distribution/replica.py
@@ -210,7 +210,7 @@
         Raises:
             VersionConflict: if the version is known with another root.
         """
-        self.tracker.confirm(snapshot.version, age, now, 0.0)
+        self._confirm_head(snapshot.version, age, now)
         self.gather.receive_head(snapshot.version)
         self.state.offer(snapshot)
         return self.tick(now)
@@ -219,10 +219,16 @@
         self, version: int, age: float, now: float
     ) -> list[Action]:
         """Takes the version of the head at the store `age` seconds ago."""
-        self.tracker.confirm(version, age, now, 0.0)
+        self._confirm_head(version, age, now)
         self.gather.receive_head(version)
         return self.tick(now)
 
+    def _confirm_head(self, version: int, age: float, now: float) -> None:
+        # A head below the version in force means that the store lost data;
+        # it proves nothing about that version.
+        if version >= self.state.version:
+            self.tracker.confirm(version, age, now, 0.0)
+
     def receive_report(
         self, sender: Address, version: int, now: float
     ) -> list[Action]:
--- a/libs/distribution/tests/test_versions.py
+++ b/libs/distribution/tests/test_versions.py
@@ -118,3 +118,13 @@
     tracker.put_in_force(5)
     assert not tracker.is_stale(2.0, 10.0)
     assert tracker.is_stale(2.0, 12.0)
+
+
+def test_lower_head_does_not_confirm_the_version_in_force() -> None:
+    """Guards against a store that lost its data and makes a route fresh."""
+    state = replica.Replica.create(random.Random(1), 0.0)
+    state.receive_snapshot(Snapshot(3), 0.0, 0.0)
+    state.tick(1.0)
+    assert state.state.version == 3
+    state.receive_head(0, 0.0, 20.0)
+    assert state.tracker.is_stale(10.0, 20.0)
--- a/libs/node/src/filbertlift_node/node.py
+++ b/libs/node/src/filbertlift_node/node.py
@@ -44,6 +44,9 @@
 DEFAULT_SLOTS = 1
 # The drain is checked this often, in seconds.
 DRAIN_CHECK_S = 0.05
+# A starting node without a peer leaves the store alone for this long after its
+# jitter, in seconds.
+LONE_S = 1.0
 # Time for announcements to leave before the links close, in seconds.
 LAST_GOSSIP_S = 0.3
 
@@ -131,6 +134,7 @@
             rng,
             lambda: bool(self.links.list_links()),
         )
+        self._lone_until = float("inf")
         self._server: server.HttpServer | None = None
         self._pages: Any = None
         self._stopped: defer.Deferred[int] | None = None
@@ -173,7 +177,10 @@
         self._inbound.start()
         self.control.start()
         self._health.start()
-        self._joiner.start(self._rng.uniform(0, settings.start_jitter))
+        delay = self._rng.uniform(0, settings.start_jitter)
+        self._joiner.start(delay)
+        self._lone_until = self._reactor.seconds() + delay + LONE_S
+        self._reactor.callLater(delay + LONE_S, self._follow_gateways)
         logs.log_event(
             "node.started",
             service=settings.service,
@@ -340,6 +347,8 @@
         """Starts or stops the work of a gateway."""
         if self._watcher is None or self._rosters is None:
             return
+        if not self._may_read_store():
+            return
         gateways = [
             member.address
             for member in self.control.topology.gateways(self.settings.region)
@@ -352,8 +361,17 @@
             self._watcher.close()
             self._rosters.close()
 
+    def _may_read_store(self) -> bool:
+        """Returns whether peers had their time to answer a starting node.
+
+        Without this every node of a mass restart would watch the store, as
+        the only member that it knows of.
+        """
+        is_alone = len(self.control.table.live()) == 1
+        return not is_alone or self._reactor.seconds() >= self._lone_until
+
     def _read_head(self) -> None:
-        if self._watcher is not None:
+        if self._watcher is not None and self._may_read_store():
             self._watcher.read_once()
 
     def _lose_link(self, link: links.Link) -> None:
--- a/libs/node/src/filbertlift_node/settings.py
+++ b/libs/node/src/filbertlift_node/settings.py
@@ -155,6 +155,7 @@
         None,
         "one or two secrets joined by a comma",
         "Cluster secrets; the first one signs, each one verifies.",
+        is_secret=True,
     ),
     settings.Setting(
         "region_proxy",
