--- a/libs/distribution/tests/test_replica.py
+++ b/libs/distribution/tests/test_replica.py
@@ -20,15 +20,26 @@
 SILENT_S = 3.0
 HEARTBEAT_S = 1.0
 QUIET_S = 15.0
-ADDRESSES = [model.Address(f"10.0.0.{number}", 7400) for number in range(6)]
+# Time until the members list a lost node as DEAD.
+DEAD_S = 4.0
+ADDRESSES = [model.Address(f"10.0.0.{number}", 7400) for number in range(7)]
 HOST = st.sampled_from(ADDRESSES)
-# Each node chooses the next two, so it has links to two that it did not
-# choose and none to one.
+# Each node chooses the next three, and is chosen by the others.
 CHOSEN = {
-    address: (ADDRESSES[(i + 1) % 6], ADDRESSES[(i + 2) % 6])
+    address: [ADDRESSES[(i + step) % 7] for step in (1, 2, 3)]
     for i, address in enumerate(ADDRESSES)
 }
 GATEWAYS = (ADDRESSES[0], ADDRESSES[3])
+# Method that receives an action, and its arguments.
+RECEIVERS = {
+    spread.SendNotice: lambda a: ("receive_notice", a.version, a.root, 0.0),
+    spread.SendFetch: lambda a: ("receive_fetch", a.base_version),
+    spread.SendUpdate: lambda a: ("receive_update", a.snapshot),
+    floors.SendAskFloor: lambda a: ("receive_ask_floor",),
+    replicas.SendReport: lambda a: ("receive_report", a.version),
+    replicas.SendReported: lambda a: ("receive_reported", a.version),
+    replicas.SendFloor: lambda a: ("receive_floor", a.version),
+}
 
 
 @attrs.frozen
@@ -53,6 +64,7 @@
     started_at: float
     is_paused: bool = False
     was_settled: bool = False
+    neighbours: list = attrs.field(factory=list)
     ends: dict = attrs.field(factory=dict)
     inbox: list = attrs.field(factory=list)
 
@@ -75,6 +87,8 @@
         # that lost memories held for it, with the time of the loss.
         self.highest = dict.fromkeys(ADDRESSES, 0)
         self.lost: list = []
+        # Processes that knew that version when the address was last lost.
+        self.witnesses: dict = {}
         for address in ADDRESSES:
             self.start(address)
 
@@ -83,9 +97,9 @@
     def start(self, address) -> None:
         replica = replicas.Replica.create(self.rng, self.now)
         self.hosts[address] = Host(replica, self.now)
-        replica.set_neighbours(CHOSEN[address], self.now)
 
     def kill(self, address) -> None:
+        self.witnesses[address] = self.find_witnesses(address)
         host = self.hosts.pop(address)
         for other in ADDRESSES:
             known = self.floor_at(host, other)
@@ -94,10 +108,28 @@
             if other in self.hosts and self.is_reachable(address, other):
                 self.close(other, address)
 
+    def find_witnesses(self, address) -> list[Host]:
+        peers = [self.hosts[p] for p in CHOSEN[address] if p in self.hosts]
+        highest = self.highest[address]
+        return [p for p in peers if self.floor_at(p, address) >= highest]
+
     def floor_at(self, host: Host, address) -> int:
         table = host.replica.floor_table
         return max(table.floor_of(address), host.replica.state.held_version)
 
+    def list_members(self) -> None:
+        """Tells each node which of its neighbours are not DEAD."""
+        recent = {
+            peer for at, peer, _, _ in self.lost if self.now - at < DEAD_S
+        }
+        for address, host in self.hosts.items():
+            chosen = CHOSEN[address]
+            listed = [p for p in chosen if p in self.hosts or p in recent]
+            if host.neighbours != listed and not host.is_paused:
+                host.neighbours = listed
+                found = host.replica.set_neighbours(listed, self.now)
+                self.run(address, found)
+
     # Connections and messages.
 
     def is_reachable(self, one, other) -> bool:
@@ -153,6 +185,7 @@
 
     def step(self) -> None:
         self.now += STEP_S
+        self.list_members()
         self.update_links()
         while self.mail and self.mail[0][0] <= self.now:
             _, _, sender, receiver, number, deliver = heapq.heappop(self.mail)
@@ -229,32 +262,14 @@
             elif isinstance(action, replicas.ReadHead):
                 self.read_store(address)
             else:
-                deliver = self.make_delivery(address, action)
-                self.send(address, action.to, deliver)
-
-    def make_delivery(self, address, action):
-        if isinstance(action, spread.SendNotice):
-            return lambda other: other.receive_notice(
-                address, action.version, action.root, 0.0, self.now
-            )
-        if isinstance(action, spread.SendFetch):
-            return lambda other: other.receive_fetch(
-                address, action.base_version, self.now
-            )
-        if isinstance(action, spread.SendUpdate):
-            return lambda other: other.receive_update(
-                address, action.snapshot, self.now
-            )
-        if isinstance(action, floors.SendAskFloor):
-            return lambda other: other.receive_ask_floor(address, self.now)
-        name = {
-            replicas.SendReport: "receive_report",
-            replicas.SendReported: "receive_reported",
-            replicas.SendFloor: "receive_floor",
-        }[type(action)]
-        return lambda other: getattr(other, name)(
-            address, action.version, self.now
-        )
+                name, *fields = RECEIVERS[type(action)](action)
+                self.send(
+                    address,
+                    action.to,
+                    lambda other, name=name, fields=fields: getattr(
+                        other, name
+                    )(address, *fields, self.now),
+                )
 
     # Oracle.
 
@@ -264,8 +279,11 @@
     def check_in_force(self, address, snapshot) -> None:
         version = snapshot.version
         assert snapshot.root == f"root-{version}"
+        self.check_floor(address, self.hosts[address])
         assert version >= self.highest[address], "went back"
         self.highest[address] = version
+        if not self.hosts[address].neighbours:
+            return
         known = [
             self.floor_at(self.hosts[peer], address)
             for peer in CHOSEN[address]
@@ -284,9 +302,7 @@
     def check(self) -> None:
         for address, host in self.hosts.items():
             replica = host.replica
-            if replica.state.is_settled and not host.was_settled:
-                host.was_settled = True
-                self.check_floor(address, host)
+            self.check_floor(address, host)
             age = replica.tracker.age(self.now)
             if age < self.now and replica.state.in_force is not None:
                 head = self.head_at(self.now - age)
@@ -294,15 +310,15 @@
 
     def check_floor(self, address, host: Host) -> None:
         """A start may go back only when every witness lost its memory."""
+        if host.was_settled or not host.replica.state.is_settled:
+            return
+        host.was_settled = True
         floor = host.replica.state.floor
         if floor >= self.highest[address]:
             return
-        known = [
-            self.floor_at(self.hosts[peer], address)
-            for peer in CHOSEN[address]
-            if peer in self.hosts
-        ]
-        assert max(known, default=0) < self.highest[address], "floor forgotten"
+        witnesses = self.witnesses.get(address, [])
+        assert not any(p in witnesses for p in self.hosts.values()), "forgotten"
+        assert host.replica.gather._head is None, "below the store's head"
         event("every witness was lost")
         self.highest[address] = floor
 
