--- a/libs/node/src/filbertlift_node/dump.py
+++ b/libs/node/src/filbertlift_node/dump.py
@@ -12,7 +12,7 @@
 
 def describe_version(node: "nodes.Node") -> dict[str, Any]:
     """Returns version, lifecycle and readiness."""
-    state = node.control.replica.state
+    state = node.control.versions.replica.state
     return {
         "version": state.version,
         "root": state.in_force.root if state.in_force else "",
@@ -26,7 +26,7 @@
     """Returns what a node that is not ready waits for, else nothing."""
     if node.state != "joining":
         return ""
-    state = node.control.replica.state
+    state = node.control.versions.replica.state
     if not state.is_settled:
         return "version floor: the store, or at least two peers"
     if state.candidate is not None:
@@ -38,7 +38,7 @@
 
 def describe_state(node: "nodes.Node") -> dict[str, Any]:
     """Returns the whole dump."""
-    replica = node.control.replica
+    replica = node.control.versions.replica
     in_force: Any = replica.state.in_force
     age = node.entry.sources.age_s()
     return {
@@ -56,7 +56,7 @@
         "members": [
             _describe_member(member)
             for member in sorted(
-                node.control.table.members.values(),
+                node.control.members.table.members.values(),
                 key=lambda member: member.address,
             )
         ],
--- /dev/null
+++ b/libs/node/src/filbertlift_node/members.py
@@ -0,0 +1,205 @@
+"""Members: their exchange over links and the probes by datagrams."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import attrs
+
+from filbertlift_core import logs
+from filbertlift_core import model
+from filbertlift_membership import gossip as gossips
+from filbertlift_membership import members as membership
+from filbertlift_membership import probes
+from filbertlift_membership import ranking
+from filbertlift_node import actions
+from filbertlift_node import links as link_tables
+from filbertlift_transport import datagrams
+from filbertlift_transport import link as links
+from filbertlift_wire import messages
+
+
+@attrs.define(eq=False)
+class MemberExchange:
+    """Carries out what the decisions on members return.
+
+    Attributes:
+        table: known members.
+        topology: neighbours and gateways.
+    """
+
+    _reactor: Any
+    _links: link_tables.LinkTable
+    _datagrams: datagrams.DatagramPort
+    _read_version: Callable[[], tuple[int, int]]
+    table: membership.MemberTable
+    topology: ranking.Topology
+    _prober: probes.Prober
+    _gossip: gossips.GossipQueue = attrs.field(factory=gossips.GossipQueue)
+    _runners: dict[type, actions.Runner] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._runners = {
+            probes.Accuse: self._accuse,
+            probes.SendPing: self._send_ping,
+            probes.SendAck: self._send_ack,
+            probes.SendPingRequest: self._send_request,
+        }
+
+    @classmethod
+    def create(
+        cls,
+        reactor: Any,
+        link_table: link_tables.LinkTable,
+        port: datagrams.DatagramPort,
+        own: model.Member,
+        rng: random.Random,
+        read_version: Callable[[], tuple[int, int]],
+    ) -> "MemberExchange":
+        """Returns the exchange of a node that knows only itself.
+
+        Args:
+            reactor: the reactor.
+            link_table: links to other nodes.
+            port: port for datagrams.
+            own: record of this node.
+            rng: random numbers for the order of probes.
+            read_version: returns the version in force and its age in
+                milliseconds, which probes carry.
+        """
+        table = membership.MemberTable.create(own)
+        exchange = cls(
+            reactor=reactor,
+            links=link_table,
+            datagrams=port,
+            read_version=read_version,
+            table=table,
+            topology=ranking.Topology.create(table),
+            prober=probes.Prober.create(table, rng, reactor.seconds()),
+        )
+        link_table.handlers.update(
+            {
+                messages.Gossip: exchange._handle_gossip,
+                messages.Digest: exchange._handle_digest,
+            }
+        )
+        return exchange
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether the members of the region are all known."""
+        return self._gossip.is_synced
+
+    def announce(self, state: model.MemberState) -> None:
+        """Spreads a new state of this node."""
+        self._gossip.spread(self.table.announce(state))
+        self._send_batches(self._reactor.seconds())
+
+    def open_link(self, peer: model.Member) -> None:
+        """Starts to exchange records with a linked peer."""
+        self._gossip.open_link(peer.address)
+        self._compare(self._reactor.seconds())
+
+    def close_link(self, peer: model.Member) -> None:
+        """Ends the exchange and probes a peer that may be gone."""
+        self._gossip.close_link(peer.address)
+        if peer.place.data_centre == self.table.own.place.data_centre:
+            now = self._reactor.seconds()
+            self._run(self._prober.probe(peer.address, now))
+
+    def tick(self, now: float) -> None:
+        """Probes, spreads and compares what is due."""
+        for dead in self.table.tick(now):
+            self._gossip.spread(dead)
+        self._run(self._prober.tick(now))
+        self._send_batches(now)
+        self._compare(now)
+
+    def keep_links(self) -> frozenset[model.Address]:
+        """Opens the links that the node keeps; returns their addresses."""
+        for member in self.topology.neighbours():
+            self._links.open(member.address, member.place.region)
+        far = self.topology.gateway_links()
+        for member in far:
+            self._open_far(member)
+        wanted = [*self.topology.neighbours(), *far]
+        return frozenset(member.address for member in wanted)
+
+    def handle_datagram(self, message: messages.Datagram) -> None:
+        """Takes a probe, an ack or a request to probe."""
+        now = self._reactor.seconds()
+        prober = self._prober
+        if isinstance(message, messages.Ping):
+            found = prober.receive_ping(message.sender, message.sequence, now)
+        elif isinstance(message, messages.Ack):
+            found = prober.receive_ack(message.sender, message.sequence, now)
+        else:
+            found = prober.receive_ping_request(
+                message.sender, message.about, message.sequence, now
+            )
+        self._run(found)
+
+    def _open_far(self, member: model.Member) -> None:
+        def check() -> None:
+            if self._links.get(member.address) is None:
+                self.topology.avoid(member.address)
+
+        if self._links.get(member.address) is None:
+            self._links.open(member.address, member.place.region, check)
+
+    def _handle_gossip(
+        self, link: links.Link, message: messages.Gossip
+    ) -> None:
+        gossips.receive_updates(
+            self.table,
+            self._gossip,
+            message.members,
+            link.peer.address,
+            self._reactor.seconds(),
+        )
+
+    def _handle_digest(
+        self, link: links.Link, message: messages.Digest
+    ) -> None:
+        received = {item.data_centre: item.digest for item in message.entries}
+        gossips.receive_digest(
+            self.table, self._gossip, received, link.peer.address
+        )
+
+    def _send_batches(self, now: float) -> None:
+        for batch in self._gossip.tick(now):
+            self._links.send(batch.to, messages.Gossip(batch.members))
+
+    def _compare(self, now: float) -> None:
+        for action in self._gossip.compare(self.table, now):
+            entries = tuple(
+                messages.DigestEntry(name, digest)
+                for name, digest in action.digests.items()
+            )
+            self._links.send(action.to, messages.Digest(entries))
+
+    def _run(self, found: list[Any]) -> None:
+        actions.run(found, self._runners)
+
+    def _accuse(self, action: probes.Accuse) -> None:
+        logs.log_event("member.suspected", member=action.member.address)
+        changed = self.table.apply(action.member, self._reactor.seconds())
+        if changed is not None:
+            self._gossip.spread(changed)
+
+    def _send_ping(self, action: probes.SendPing) -> None:
+        version, age_ms = self._read_version()
+        own = self.table.own.address
+        ping = messages.Ping(action.sequence, own, version, age_ms)
+        self._datagrams.send(ping, action.to)
+
+    def _send_ack(self, action: probes.SendAck) -> None:
+        version, age_ms = self._read_version()
+        own = self.table.own.address
+        ack = messages.Ack(action.sequence, own, version, age_ms, own)
+        self._datagrams.send(ack, action.to)
+
+    def _send_request(self, action: probes.SendPingRequest) -> None:
+        own = self.table.own.address
+        request = messages.PingRequest(action.sequence, own, action.to)
+        self._datagrams.send(request, action.via)
--- a/libs/node/src/filbertlift_node/node.py
+++ b/libs/node/src/filbertlift_node/node.py
@@ -95,7 +95,9 @@
         self.links = self._make_links()
         self.datagrams = datagrams.DatagramPort(
             settings.secrets,
-            lambda message, _sender: self.control.handle_datagram(message),
+            lambda message, _sender: self.control.members.handle_datagram(
+                message
+            ),
         )
         self.control = control.ControlPlane.create(
             reactor,
@@ -195,7 +197,7 @@
             return self._stopped
         self._stopped = defer.Deferred()
         self._lifecycle.leave()
-        self.control.announce(model.MemberState.LEAVING)
+        self.control.members.announce(model.MemberState.LEAVING)
         reactor = self._reactor
         reactor.callLater(self.settings.leave_notice, self._lifecycle.refuse)
         limit = reactor.seconds() + self.settings.drain_limit
@@ -224,8 +226,8 @@
             # The incarnation of the keeper is that of the start; a refuted
             # suspicion raises that of the member only.
             lambda: self._own,
-            lambda: self.control.make_heartbeat(),
-            lambda: self.control.replica.state.version,
+            lambda link: self.control.versions.make_heartbeat(link),
+            lambda: self.control.versions.replica.state.version,
         )
         watchers = link_tables.LinkWatchers(
             lambda peer: self.control.handle_up(peer),
@@ -247,16 +249,16 @@
             self._pool,
             keepers.Keeper.create(self.incarnation),
             make_admission(DEFAULT_SLOTS),
-            lambda: self.control.replica.state.version,
+            lambda: self.control.versions.replica.state.version,
         )
 
     def _make_entry(self) -> entries.Entry:
-        table = self.control.table
+        table = self.control.members.table
         sources = entries.EntrySources(
             table.targets_of,
             table.members.get,
             self._get_age,
-            self.control.pull_version,
+            self.control.versions.pull_version,
         )
         return entries.Entry.create(
             self._reactor,
@@ -275,8 +277,8 @@
             inbound.make_route_finder(
                 lambda: (self.entry.verifier, self.entry.table)
             ),
-            self.control.pull_version,
-            lambda: self.control.replica.state.version,
+            self.control.versions.pull_version,
+            lambda: self.control.versions.replica.state.version,
         )
         self.links.handlers[messages.Chunk] = self._dispatch_chunk
         return inbound.InboundCalls(
@@ -304,9 +306,10 @@
             self._store,
             self.settings.cluster,
             watcher.WatchEvents(
-                self.control.receive_snapshot, self.control.receive_head
+                self.control.versions.receive_snapshot,
+                self.control.versions.receive_head,
             ),
-            self.control.find_held,
+            self.control.versions.find_held,
             self._rng,
         )
 
@@ -318,7 +321,7 @@
             self._store,
             self.settings.cluster,
             self._own,
-            self.control.table.live,
+            self.control.members.table.live,
             self._list_lost,
         )
 
@@ -335,12 +338,12 @@
         self._lifecycle.confirm()
 
     def _confirm(self) -> None:
-        if self.control.replica.state.in_force is not None:
+        if self.control.versions.replica.state.in_force is not None:
             self._lifecycle.confirm()
 
     def _refresh_members(self) -> None:
         self.entry.refresh_targets()
-        self.metrics.members.set(len(self.control.table.live()))
+        self.metrics.members.set(len(self.control.members.table.live()))
         self._follow_gateways()
 
     def _follow_gateways(self) -> None:
@@ -351,7 +354,9 @@
             return
         gateways = [
             member.address
-            for member in self.control.topology.gateways(self.settings.region)
+            for member in self.control.members.topology.gateways(
+                self.settings.region
+            )
         ]
         role = spread.should_watch(self.settings.link, gateways)
         if role.is_watching:
@@ -367,7 +372,7 @@
         Without this every node of a mass restart would watch the store, as
         the only member that it knows of.
         """
-        is_alone = len(self.control.table.live()) == 1
+        is_alone = len(self.control.members.table.live()) == 1
         return not is_alone or self._reactor.seconds() >= self._lone_until
 
     def _read_head(self) -> None:
@@ -375,6 +380,7 @@
             self._watcher.read_once()
 
     def _lose_link(self, link: links.Link) -> None:
+        self.control.forget_link(link)
         self.remote.lose_link(link)
         self._inbound.lose_link(link)
 
@@ -388,12 +394,14 @@
     def _list_lost(self) -> tuple[model.Address, ...]:
         return tuple(
             member.address
-            for member in self.control.table.members.values()
+            for member in self.control.members.table.members.values()
             if member.state is model.MemberState.DEAD
         )
 
     def _get_age(self) -> float:
-        return self.control.replica.tracker.age(self._reactor.seconds())
+        return self.control.versions.replica.tracker.age(
+            self._reactor.seconds()
+        )
 
     # Target and lifecycle.
 
@@ -408,7 +416,7 @@
                 if is_serving
                 else model.MemberState.LEAVING
             )
-            self.control.announce(state)
+            self.control.members.announce(state)
 
     def _enter(self, state: str) -> None:
         refusal = _REFUSALS[state]
--- a/libs/transport/src/filbertlift_transport/greeting.py
+++ b/libs/transport/src/filbertlift_transport/greeting.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 import os
+from typing import Any
 
 import attrs
 
@@ -27,14 +28,14 @@
             To rotate, append the new secret everywhere, then move it to the
             front everywhere, then remove the old one.
         make_member: returns this node's current member record.
-        make_heartbeat: returns the heartbeat to send now.
+        make_heartbeat: returns the heartbeat to send now on a link.
         current_version: returns the configuration version in force.
     """
 
     cluster: str
     secrets: tuple[bytes, ...]
     make_member: Callable[[], model.Member]
-    make_heartbeat: Callable[[], messages.Heartbeat]
+    make_heartbeat: Callable[[Any], messages.Heartbeat]
     current_version: Callable[[], int]
 
 
--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -255,7 +255,7 @@
         self._heartbeat_call = self._reactor.callLater(
             HEARTBEAT_INTERVAL_S, self._beat
         )
-        self.send(self._identity.make_heartbeat())
+        self.send(self._identity.make_heartbeat(self))
 
     def _check_silence(self) -> None:
         quiet = self._reactor.seconds() - self._last_received
--- a/libs/transport/tests/test_link.py
+++ b/libs/transport/tests/test_link.py
@@ -34,7 +34,9 @@
         cluster="stage",
         secrets=(b"secret",),
         make_member=lambda: member,
-        make_heartbeat=lambda: messages.Heartbeat(17, "root", -1, 0),
+        make_heartbeat=lambda _link: messages.Heartbeat(
+            17, "root", -1, 0, 1, 0, 0
+        ),
         current_version=lambda: 17,
     )
     return attrs.evolve(identity, **changes)
--- a/libs/wire/src/filbertlift_wire/messages.py
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -72,12 +72,18 @@
         age_ms: time since a watcher confirmed the head at the store, or -1
             when it is unknown.
         queue: calls waiting at the sender.
+        number: number of the heartbeat on this link.
+        echo: number of the last heartbeat received on it, 0 for none.
+        held_ms: time since that one was received.
     """
 
     version: int
     root: str
     age_ms: int
     queue: int
+    number: int
+    echo: int
+    held_ms: int
 
 
 @attrs.frozen
--- a/libs/wire/src/filbertlift_wire/schema.capnp
+++ b/libs/wire/src/filbertlift_wire/schema.capnp
@@ -27,6 +27,9 @@
   root @1 :Text;
   ageMs @2 :Int64;
   queue @3 :UInt32;
+  number @4 :UInt32;
+  echo @5 :UInt32;
+  heldMs @6 :UInt32;
 }
 
 struct Notice {
