--- a/libs/harness/src/filbertlift_harness/deployment.py
+++ b/libs/harness/src/filbertlift_harness/deployment.py
@@ -273,9 +273,15 @@
         ]
 
     def _list_peers(self, spec: NodeSpec) -> list[model.Address]:
-        """Returns the first two nodes of each data centre."""
+        """Returns the first two nodes of each data centre of the region.
+
+        A peer in another region would be called directly, past the link,
+        since a setting of peers does not say which region they are in.
+        """
         peers = []
         for place in self.topology.places:
+            if place.region != spec.place.region:
+                continue
             here = [node for node in self.nodes if node.place == place]
             peers += [node.link for node in here[:2] if node is not spec]
         return peers
