Make duplicates, queues and overtaking cancels common in the machine

The targets now start with one slot, half of the delivered frames come again, and a withdrawal that takes another asker's call fails the test.

--- a/libs/calls/tests/test_at_most_once.py
+++ b/libs/calls/tests/test_at_most_once.py
@@ -124,7 +124,7 @@
             index,
             self.serial,
             keeper.Keeper.create(self.serial),
-            admission.make_priority_admission(2, queue_limit=3),
+            admission.make_priority_admission(1, queue_limit=3),
         )
 
     def clock(self, host: Host) -> float:
@@ -333,7 +333,7 @@
         self.call_new(Request(repeat, attempt, first.work, entry, first.host))
 
     @stateful.precondition(lambda self: self.frames)
-    @stateful.rule(pick=ANY, keep=st.sampled_from([False, False, False, True]))
+    @stateful.rule(pick=ANY, keep=st.booleans())
     def deliver(self, pick: int, keep: bool) -> None:
         """Delivers any frame; one that is kept is delivered again later."""
         place = pick % len(self.frames)
@@ -378,8 +378,8 @@
             self.oracle.tell(request, decision)
 
     @stateful.precondition(lambda self: self.requests)
-    @stateful.rule(pick=ANY)
-    def withdraw(self, pick: int) -> None:
+    @stateful.rule(pick=ANY, at_once=st.booleans())
+    def withdraw(self, pick: int, at_once: bool) -> None:
         request = self.requests[pick % len(self.requests)]
         host = self.hosts[request.host]
         if host.incarnation != request.call.incarnation:
@@ -388,6 +388,8 @@
         self.send_to_host(
             host, functools.partial(self.take_cancel, host, asker)
         )
+        if at_once:
+            self.deliver_newest()
 
     def take_cancel(self, host: Host, asker: Asker) -> None:
         call_id = asker[0].call.call_id
@@ -398,7 +400,8 @@
         if call_id in host.waiting:
             assert host.admission.withdraw(call_id)
             del host.waiting[call_id]
-            host.askers.pop(call_id)
+            waiting = {request for request, _ in host.askers.pop(call_id)}
+            assert waiting <= {asker[0]}, "withdrew another asker's call"
         end = outcomes.AttemptEnd.NOT_RUN
         self.reply(asker, outcomes.Attempt(end, codes.WITHDRAWN))
 
