--- a/libs/calls/tests/test_keeper.py
+++ b/libs/calls/tests/test_keeper.py
@@ -1,5 +1,6 @@
 """Tests of the bounds of the keeper; test_at_most_once has its behaviour."""
 
+import attrs
 import pytest
 
 from filbertlift_calls import codes
@@ -71,3 +72,16 @@
     assert isinstance(state.withdraw("call-1", "a", 0.0), records.Withdrawn)
     with pytest.raises(keeper.exceptions.KeeperError):
         state.start("call-1")
+
+
+def test_copy_of_a_withdrawn_or_refused_frame_does_not_run() -> None:
+    """Guards against a run after "not run" was told for the same frame."""
+    state = keeper.Keeper.create(7)
+    state.begin(make_head(1), 0.0)
+    state.withdraw("call-1", "a", 0.0)
+    assert isinstance(state.begin(make_head(1), 1.0), records.Refused)
+    state.begin(make_head(2), 0.0)
+    other = attrs.evolve(make_head(2, 2), fingerprint=9)
+    assert isinstance(state.begin(other, 0.0), records.Refused)
+    state.drop("call-2", codes.DRAINING, 0.0)
+    assert isinstance(state.begin(other, 1.0), records.Refused)
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -23,6 +23,7 @@
 # pytest: 1 means that tests ran and failed, 2 and more that they didn't run.
 TESTS_FAILED: Final = 1
 CALLS_TEST: Final = "libs/calls/tests/test_at_most_once.py"
+KEEPER_TEST: Final = "libs/calls/tests/test_keeper.py"
 
 
 @attrs.frozen
@@ -139,7 +140,7 @@
         "        self.drop(call_id, codes.WITHDRAWN, now)\n",
         "        entry.attempt = 0\n"
         "        self.drop(call_id, codes.WITHDRAWN, now)\n",
-        CALLS_TEST,
+        KEEPER_TEST,
     ),
     Fault(
         "run every repeat of a dropped call",
@@ -164,7 +165,7 @@
         "    entry.attempt = max(entry.attempt, call.attempt)\n"
         "    if entry.fingerprint",
         "    if entry.fingerprint",
-        CALLS_TEST,
+        KEEPER_TEST,
     ),
     Fault(
         "answer a reused key with the answer of another request",
