--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -29,6 +29,7 @@
 MEMBERS_TEST: Final = "libs/membership/tests/test_members.py"
 VERSIONS_TEST: Final = "libs/distribution/tests/test_versions.py"
 REPLICA_TEST: Final = "libs/distribution/tests/test_replica.py"
+KEEPER_TEST: Final = "libs/calls/tests/test_keeper.py"
 
 
 @attrs.frozen
@@ -145,7 +146,7 @@
         "        self.drop(call_id, codes.WITHDRAWN, now)\n",
         "        entry.attempt = 0\n"
         "        self.drop(call_id, codes.WITHDRAWN, now)\n",
-        CALLS_TEST,
+        KEEPER_TEST,
     ),
     Fault(
         "run every repeat of a dropped call",
@@ -170,7 +171,7 @@
         "    entry.attempt = max(entry.attempt, call.attempt)\n"
         "    if entry.fingerprint",
         "    if entry.fingerprint",
-        CALLS_TEST,
+        KEEPER_TEST,
     ),
     Fault(
         "answer a reused key with the answer of another request",
