Keep the region of first contacts, so that links take the right way

Cause: a joining node opened links to the addresses of the common roster without a region, past the proxy of that region; bytes across the link and times between regions came out too low.

--- a/libs/node/src/filbertlift_node/joining.py
+++ b/libs/node/src/filbertlift_node/joining.py
@@ -1,6 +1,7 @@
 """First contact of a starting node with its cluster."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 from typing import Any
 
@@ -58,7 +59,9 @@
             self._tries = 0
             return
         self._tries += 1
-        self._ask(self._peers)
+        # Peers in the settings are those of the own region.
+        home = self._own.place.region
+        self._ask([roster.Contact(item, home) for item in self._peers])
         if self._store is None or not self._may_read():
             return
         reading = defer.ensureDeferred(self._read_rosters(self._store))
@@ -77,15 +80,17 @@
     async def _read_rosters(self, store: interface.Store) -> None:
         for name in (self._own.place.data_centre, COMMON_ROSTER):
             found = await roster.read_roster(store, self._cluster, name)
-            others = [item for item in found if item != self._own.address]
-            if others:
-                self._ask(tuple(others))
+            if self._ask(found):
                 return
 
-    def _ask(self, addresses: tuple[model.Address, ...]) -> None:
-        others = [item for item in addresses if item != self._own.address]
-        for address in self._rng.sample(others, min(SEEDS, len(others))):
-            self._links.open(address, "")
+    def _ask(self, contacts: Iterable[roster.Contact]) -> bool:
+        """Opens links to some of the contacts; returns whether any is left."""
+        own = self._own.address
+        others = [item for item in contacts if item.address != own]
+        for contact in self._rng.sample(others, min(SEEDS, len(others))):
+            # The region tells whether the way leads through a proxy.
+            self._links.open(contact.address, contact.region)
+        return bool(others)
 
 
 @attrs.define
@@ -131,9 +136,9 @@
         for place in sorted(places):
             if place.region != self._own.place.region:
                 continue
-            near = [item.address for item in live if item.place == place]
+            near = [_make_contact(item) for item in live if item.place == place]
             await self._find_writer(place.data_centre).write(near, lost)
-        common = [self._own.address]
+        common = [_make_contact(self._own)]
         await self._find_writer(COMMON_ROSTER).write(common, lost)
 
     def _find_writer(self, name: str) -> roster.RosterWriter:
@@ -142,3 +147,7 @@
                 self._store, self._cluster, name
             )
         return self._writers[name]
+
+
+def _make_contact(member: model.Member) -> roster.Contact:
+    return roster.Contact(member.address, member.place.region)
--- a/libs/store/src/filbertlift_store/roster.py
+++ b/libs/store/src/filbertlift_store/roster.py
@@ -21,31 +21,45 @@
 LEASE_TTL_S: Final = 300.0
 
 
+@attrs.frozen(order=True)
+class Contact:
+    """A node that a starting one can ask.
+
+    Attributes:
+        address: link address of the node.
+        region: its region, which tells the way to it.
+    """
+
+    address: model.Address
+    region: str
+
+
 def merge_roster(
-    held: Iterable[model.Address],
-    live: Iterable[model.Address],
+    held: Iterable[Contact],
+    live: Iterable[Contact],
     lost: Collection[model.Address],
-) -> tuple[model.Address, ...]:
+) -> tuple[Contact, ...]:
     """Returns the roster after an update, sorted.
 
     Args:
-        held: the addresses in the store.
-        live: addresses that the writer knows to be alive; the first of them
+        held: the contacts in the store.
+        live: contacts that the writer knows to be alive; the first of them
             go before the held ones when there are too many.
         lost: addresses that the writer knows to be dead.
     """
-    kept = [address for address in held if address not in lost]
+    kept = [contact for contact in held if contact.address not in lost]
     merged = dict.fromkeys([*live, *kept])
     return tuple(sorted(list(merged)[:MAX_ADDRESSES]))
 
 
-def encode_roster(addresses: Iterable[model.Address]) -> bytes:
+def encode_roster(contacts: Iterable[Contact]) -> bytes:
     """Returns the bytes under the key of a roster."""
-    return codec.encode_canonical({"nodes": [str(item) for item in addresses]})
+    rows = [[str(item.address), item.region] for item in contacts]
+    return codec.encode_canonical({"nodes": rows})
 
 
-def decode_roster(data: bytes) -> tuple[model.Address, ...]:
-    """Returns the addresses; an unreadable roster counts as empty.
+def decode_roster(data: bytes) -> tuple[Contact, ...]:
+    """Returns the contacts; an unreadable roster counts as empty.
 
     A roster is a hint, and the next write replaces it.
     """
@@ -56,15 +70,18 @@
         rows = content.get("nodes")
         if not isinstance(rows, list):
             return ()
-        addresses = [model.Address.parse(str(row)) for row in rows]
-    except core_exceptions.FilbertliftError:
+        contacts = [
+            Contact(model.Address.parse(str(address)), str(region))
+            for address, region in rows
+        ]
+    except (core_exceptions.FilbertliftError, TypeError, ValueError):
         return ()
-    return tuple(addresses[:MAX_ADDRESSES])
+    return tuple(contacts[:MAX_ADDRESSES])
 
 
 @defer.inlineCallbacks
 def read_roster(store: interface.Store, cluster: str, data_centre: str) -> Any:
-    """Returns the addresses in a roster; fails with StoreError."""
+    """Returns the contacts in a roster; fails with StoreError."""
     entry = yield store.get(interface.roster_key(cluster, data_centre))
     return decode_roster(entry.value) if entry is not None else ()
 
@@ -85,16 +102,16 @@
     @defer.inlineCallbacks
     def write(
         self,
-        live: Collection[model.Address],
+        live: Collection[Contact],
         lost: Collection[model.Address],
     ) -> Any:
-        """Merges addresses into the roster; returns whether it was written.
+        """Merges contacts into the roster; returns whether it was written.
 
         Call it again within `LEASE_TTL_S` seconds, since the roster
         disappears with the lease. The Deferred fails with StoreError.
 
         Args:
-            live: addresses that are alive, the preferred first.
+            live: nodes that are alive, the preferred first.
             lost: addresses that are dead.
         """
         held = yield read_roster(self.store, self.cluster, self.data_centre)
--- a/libs/store/tests/test_roster.py
+++ b/libs/store/tests/test_roster.py
@@ -9,7 +9,10 @@
 from filbertlift_store import interface
 from filbertlift_store import roster
 
-NODES = [model.Address("10.0.0.1", port) for port in range(1, 30)]
+NODES = [
+    roster.Contact(model.Address("10.0.0.1", port), "edin")
+    for port in range(1, 30)
+]
 
 
 def read_now(deferred: Any) -> Any:
@@ -19,7 +22,8 @@
 
 
 def test_roster_is_bounded_and_prefers_what_the_writer_knows() -> None:
-    merged = roster.merge_roster(NODES[:16], NODES[16:20], NODES[:2])
+    lost = [contact.address for contact in NODES[:2]]
+    merged = roster.merge_roster(NODES[:16], NODES[16:20], lost)
     assert len(merged) == roster.MAX_ADDRESSES
     assert set(NODES[16:20]) <= set(merged)
     assert not set(NODES[:2]) & set(merged)
@@ -46,7 +50,10 @@
     assert read_now(first.write(NODES[:1], []))
 
 
-@given(st.binary(max_size=100) | st.just(b'{"nodes":[1,null,"x"]}'))
+@given(
+    st.binary(max_size=100)
+    | st.sampled_from([b'{"nodes":[1,null,"x"]}', b'{"nodes":["10.0.0.1:1"]}'])
+)
 def test_hostile_roster_counts_as_empty(data: bytes) -> None:
     """Guards against a damaged hint that keeps nodes from starting."""
     assert roster.decode_roster(data) == ()
