--- a/libs/calls/tests/test_admission.py
+++ b/libs/calls/tests/test_admission.py
@@ -127,3 +127,15 @@
     state.offer(make_ticket(1, LONG), 0.0)
     state.offer(make_ticket(2, CHECK), 0.0)
     assert state.release(running, 0.1, 0.0)[0].ticket.call_id == "call-1"
+
+
+def test_paused_target_starts_nothing_until_it_resumes() -> None:
+    """Guards against new work at a target that drains."""
+    state = admission.make_priority_admission(1)
+    running = make_ticket(0, COUNTER)
+    state.offer(running, 0.0)
+    state.offer(make_ticket(1, COUNTER), 0.0)
+    state.pause(codes.DRAINING)
+    assert isinstance(state.offer(make_ticket(2, CHECK), 0.0), tickets.Shed)
+    assert state.release(running, 0.1, 0.0) == []
+    assert len(state.resume(0.0)) == 1
--- a/libs/node/src/filbertlift_node/lifecycle.py
+++ b/libs/node/src/filbertlift_node/lifecycle.py
@@ -50,7 +50,8 @@
 # Each row: state, input, next state. Any other input leaves the state alone.
 _TRANSITIONS = (
     ("joining", "confirm", "ready"),
-    ("joining", "leave", "leaving"),
+    # Without a confirmed version, no call may be taken during the notice.
+    ("joining", "leave", "draining"),
     ("ready", "suspend", "joining"),
     ("ready", "leave", "leaving"),
     ("leaving", "refuse", "draining"),
@@ -62,7 +63,7 @@
 
 
 def _make_entry(state: str) -> Callable[[Lifecycle, LifecycleHooks], None]:
-    def enter(machine: Lifecycle, hooks: LifecycleHooks) -> None:
+    def enter(_machine: Lifecycle, hooks: LifecycleHooks) -> None:
         hooks.enter(state)
 
     return enter
--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -1,25 +1,22 @@
 """Links between nodes: frames over one TCP connection."""
 
 from collections.abc import Callable
-import os
 from typing import Any
 
 import attrs
-from filbertlift_core import env
-from filbertlift_core import logs
-from filbertlift_core import model
-from filbertlift_wire import exceptions as wire_exceptions
-from filbertlift_wire import frames
-from filbertlift_wire import messages
-from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
-from zope.interface import implementer
 
+from filbertlift_core import logs
+from filbertlift_core import model
 from filbertlift_transport import exceptions
 from filbertlift_transport import greeting
 from filbertlift_transport import lifecycle
+from filbertlift_transport import outputs
 from filbertlift_transport import proxies
+from filbertlift_wire import exceptions as wire_exceptions
+from filbertlift_wire import frames
+from filbertlift_wire import messages
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_INTERVAL_S = 1.0
@@ -30,6 +27,9 @@
 # control messages go on reaches this.
 MAX_UNSENT_BYTES = 8_000_000
 
+# Bounds what a peer that is not authenticated makes this node read.
+MAX_GREETING_BYTES = 4_096
+
 LinkIdentity = greeting.LinkIdentity
 
 
@@ -60,7 +60,6 @@
     received_calls: int = 0
 
 
-@implementer(interfaces.IPushProducer)
 class Link(protocol.Protocol):
     """A link to one peer.
 
@@ -89,12 +88,11 @@
         self._identity = identity
         self._events = events
         self._tunnel = proxies.Tunnel(address) if proxy and address else None
-        self._peer: model.Member | None = None
-        self._nonce = os.urandom(greeting.NONCE_BYTES)
+        self._handshake = greeting.Handshake(identity, self.is_opener)
         self._reader = frames.FrameReader()
-        self._unsent: list[bytes] = []
-        self._unsent_bytes = 0
-        self._is_paused = False
+        self._reader.max_header_bytes = MAX_GREETING_BYTES
+        self._reader.max_body_bytes = 0
+        self._output: outputs.JoiningOutput
         self._last_received = reactor.seconds()
         self._heartbeat_call: Any = None
         self._silence_call: Any = None
@@ -111,9 +109,9 @@
         Raises:
             LinkError: if the link was never up.
         """
-        if self._peer is None:
+        if self._handshake.peer is None:
             raise exceptions.LinkError("closed", "link was never up")
-        return self._peer
+        return self._handshake.peer
 
     def send(self, message: messages.Message) -> bool:
         """Sends a message; returns whether the link took it.
@@ -139,18 +137,19 @@
         """Reports that no connection could be established."""
         self._state.fail(exceptions.LinkError("connect-failed", message))
 
-    # Twisted's protocol and producer interfaces.
+    # Twisted's protocol interface.
 
     def connectionMade(self) -> None:  # noqa: N802
         """Starts the greeting, through the proxy's tunnel if there is one."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        self._output = outputs.JoiningOutput(
+            self._reactor, self.transport, MAX_UNSENT_BYTES
+        )
         self._last_received = self._reactor.seconds()
         self._silence_call = self._reactor.callLater(
             SILENCE_LIMIT_S, self._check_silence
         )
         if self._tunnel is not None:
-            self.transport.write(self._tunnel.make_request())
+            self._output.write(self._tunnel.make_request())
             return
         self._state.connect()
 
@@ -160,7 +159,10 @@
         try:
             if self._tunnel is not None:
                 data = self._receive_tunnel(data)
-            for message in self._reader.feed(data):
+            found = self._reader.feed(data)
+            self.counters.received_control = self._reader.control_bytes
+            self.counters.received_calls = self._reader.call_bytes
+            for message in found:
                 self._receive(message)
         except wire_exceptions.WireError as error:
             self._state.fail(exceptions.LinkError("malformed", str(error)))
@@ -173,23 +175,12 @@
         """Takes the link down if it was not closed before."""
         self._state.fail(exceptions.LinkError("lost", reason.getErrorMessage()))
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """The transport has enough unsent bytes."""
-        self._is_paused = True
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """The transport takes bytes again."""
-        self._is_paused = False
-        self._flush()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """The connection is gone; `connectionLost` follows."""
-
     # Steps of the lifecycle.
 
     def _greet(self) -> None:
-        if self.is_opener:
-            self._send_greeting(messages.Hello, b"")
+        first = self._handshake.start()
+        if first is not None:
+            self._write(frames.encode_message(first))
 
     def _announce_up(self) -> None:
         self.is_up = True
@@ -202,37 +193,24 @@
         for call in (self._heartbeat_call, self._silence_call):
             if call is not None and call.active():
                 call.cancel()
-        peer = self._peer.address if self._peer else self.address
-        logs.log_event("link.down", peer=peer, reason=str(error))
+        peer = self._handshake.peer
+        address = peer.address if peer else self.address
+        logs.log_event("link.down", peer=address, reason=str(error))
         if self.transport is not None:
             self._disconnect(error)
-        self._unsent.clear()
         self._events.on_down(self, error)
 
     def _disconnect(self, error: exceptions.LinkError) -> None:
-        if error.reason == "closed" and not self._unsent:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+        # A reset would discard the answer that tells a refused peer why.
+        is_stuck = error.reason in ("silent", "overflow", "lost")
+        if not is_stuck and not self._output.is_full:
+            self._output.close()
             return
+        self._output.clear()
         self.transport.abortConnection()
 
     # Greeting.
 
-    def _send_greeting(self, kind: type, proof: bytes) -> None:
-        identity = self._identity
-        self._write(
-            frames.encode_message(
-                kind(
-                    cluster=identity.cluster,
-                    wire_version=env.WIRE_VERSION,
-                    member=identity.make_member(),
-                    version=identity.current_version(),
-                    proof=proof,
-                    nonce=self._nonce,
-                )
-            )
-        )
-
     def _receive_tunnel(self, data: bytes) -> bytes:
         assert self._tunnel is not None
         rest = self._tunnel.receive(data)
@@ -244,44 +222,32 @@
 
     def _receive(self, message: messages.Message) -> None:
         if self.is_up:
-            self._events.on_message(self, message)
+            self._hand_on(message)
             return
-        if self.is_opener and isinstance(message, messages.Welcome):
-            self._receive_welcome(message)
-        elif not self.is_opener and isinstance(message, messages.Hello):
-            self._receive_hello(message)
-        else:
-            raise exceptions.LinkError("malformed", "greeting expected")
-
-    def _receive_hello(self, hello: messages.Hello) -> None:
-        if not hello.proof:
-            secret = self._identity.secrets[0]
-            proof = greeting.make_proof(
-                secret, b"welcome", self._nonce, hello.nonce
-            )
-            # The answer names this node's cluster and version even when the
-            # peer is refused, so that both sides log the cause.
-            self._send_greeting(messages.Welcome, proof)
-            greeting.check_peer(hello, self._identity.cluster)
+        handshake = self._handshake
+        for answer in handshake.receive(message):
+            self._write(frames.encode_message(answer))
+        handshake.check(message)
+        if handshake.peer is not None:
+            self._reader.max_header_bytes = frames.MAX_HEADER_BYTES
+            self._reader.max_body_bytes = frames.MAX_BODY_BYTES
+        if not handshake.is_done:
             return
-        greeting.check_peer(hello, self._identity.cluster)
-        greeting.check_proof(
-            hello, b"hello", self._nonce, self._identity.secrets
-        )
-        self._peer = hello.member
         self._state.accept()
+        if self.is_opener:
+            self._hand_on(message)
 
-    def _receive_welcome(self, welcome: messages.Welcome) -> None:
-        greeting.check_peer(welcome, self._identity.cluster)
-        greeting.check_proof(
-            welcome, b"welcome", self._nonce, self._identity.secrets
-        )
-        proof = greeting.make_proof(
-            self._identity.secrets[0], b"hello", self._nonce, welcome.nonce
-        )
-        self._send_greeting(messages.Hello, proof)
-        self._peer = welcome.member
-        self._state.accept()
+    def _hand_on(self, message: messages.Message) -> None:
+        try:
+            self._events.on_message(self, message)
+        except Exception as error:
+            # A fault in handling one message must not end the other calls
+            # on the link.
+            logs.log_event(
+                "link.handler-failed",
+                message=type(message).__name__,
+                error=repr(error),
+            )
 
     # Timers and writing.
 
@@ -289,7 +255,7 @@
         self._heartbeat_call = self._reactor.callLater(
             HEARTBEAT_INTERVAL_S, self._beat
         )
-        self.send(self._identity.make_heartbeat())
+        self.send(self._identity.make_heartbeat(self))
 
     def _check_silence(self) -> None:
         quiet = self._reactor.seconds() - self._last_received
@@ -303,23 +269,11 @@
         )
 
     def _write(self, data: bytes) -> None:
-        if not self._is_paused:
-            self.transport.write(data)
-            return
-        self._unsent.append(data)
-        self._unsent_bytes += len(data)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
+        if not self._output.write(data):
             self._state.fail(
                 exceptions.LinkError("overflow", "peer does not read")
             )
 
-    def _flush(self) -> None:
-        data = b"".join(self._unsent)
-        self._unsent.clear()
-        self._unsent_bytes = 0
-        if data:
-            self.transport.write(data)
-
 
 class LinkListener:
     """Accepts links."""
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from filbertlift_core import logs
-from filbertlift_core import model
-from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
-from zope.interface import implementer
 
+from filbertlift_core import logs
+from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
+from filbertlift_transport import uploads
 
 Header = http.Header
 Limits = http.Limits
@@ -21,35 +21,40 @@
 Reply = replies.Reply
 Handler = Callable[[http.Request, replies.Reply], None]
 SWEEP_INTERVAL_S = 1.0
+# Time for a refused caller to read the answer and close.
+LINGER_S = 5.0
 _JSON = (http.Header("Content-Type", "application/json"),)
 
 
-@implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; requests are answered in order."""
 
     transport: Any
 
     def __init__(self, server: "HttpServer") -> None:
-        self.is_full = False
+        self.output: outputs.Output
         self._server = server
         self._waiting: collections.deque[requests.Parsed] = collections.deque()
         self._reply: replies.Reply | None = None
         self._reader: requests.RequestReader
+        # Body of the request under way, if it arrives in parts.
+        self._upload: uploads.Upload | None = None
         # Since when the caller owes the next head, its rest, or a body.
         self._since = server.read_time()
-        self._was_idle = True
+        self._full_since: float | None = None
         self._is_closing = False
+        self._is_refused = False
         self._is_reading = True
 
     def connectionMade(self) -> None:  # noqa: N802
         """Prepares the connection, or refuses one too many."""
         peer = self.transport.getPeer()
         self._reader = requests.RequestReader(
-            self._server.limits, model.Address(peer.host, peer.port)
+            self._server.limits,
+            model.Address(peer.host, peer.port),
+            self.transport,
         )
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
             self._refuse(503, "FL-HTTP-FULL", "too many connections")
 
@@ -63,11 +68,11 @@
         except requests.RefusedError as error:
             self._refuse(error.status, error.code, error.message)
             return
-        if found or self._phase != was:
+        if found or self._phase != was or self._reader.upload:
             self._since = self._server.read_time()
         if self._reader.wants_continue and self._reply is None:
             self._reader.wants_continue = False
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         for parsed in found:
             self._waiting.append(parsed)
         self._serve_next()
@@ -83,57 +88,69 @@
         if reply is not None:
             reply.drop()
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """The transport has enough unsent bytes."""
-        self.is_full = True
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """The transport takes bytes again."""
-        self.is_full = False
-        reply = self._reply
-        if reply is not None and reply.on_drained is not None:
-            reply.on_drained()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """The connection is gone; `connectionLost` follows."""
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Calls the function at the end of this turn of the reactor."""
+        self._server.reactor.callLater(0, function)
 
     def end_reply(self, reply: replies.Reply, keep: bool) -> None:
         """The answer is complete; serves the next request or closes."""
         if reply is not self._reply:
             return
         self._reply = None
+        upload, self._upload = self._upload, None
+        if upload is not None and not upload.is_over:
+            # Answered before the body arrived; the rest is of no use.
+            upload.resume()
+            self._is_refused = True
+            keep = False
         if not keep or self._server.is_stopping:
             self._close()
             return
         self._since = self._server.read_time()
         if self._waiting:
             self._server.reactor.callLater(0, self._serve_next)
-        elif not self._is_reading:
-            self._is_reading = True
-            self.transport.resumeProducing()
 
     def check_time(self, now: float) -> None:
         """Closes the connection of a caller that is too slow or idle."""
         limits = self._server.limits
         spent = now - self._since
-        if self._is_closing:
+        if self._reply is not None:
+            self._check_reading(now)
+            upload = self._upload
+            is_owed = upload is not None and not upload.is_suspended
+            if is_owed and spent >= limits.body_s:
+                self.transport.abortConnection()
+        elif self._is_closing:
             # The peer does not read the last answer or does not close.
-            if spent > limits.idle_s:
+            if spent >= (LINGER_S if self._is_refused else limits.idle_s):
                 self.transport.abortConnection()
-        elif self._reply is not None:
-            return
         elif self._reader.is_in_head and spent >= limits.head_s:
             self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
         elif self._reader.is_in_body and spent >= limits.body_s:
             self._refuse(408, "FL-HTTP-SLOW", "request body took too long")
-        elif self._phase == (False, False) and spent >= limits.idle_s:
+        elif self._is_idle and spent >= limits.idle_s:
             self._close()
 
     def stop_when_idle(self) -> None:
-        """Closes now when idle, else after the answer under way."""
-        if self._reply is None and not self._waiting:
+        """Closes now when idle, else after the request under way."""
+        if self._reply is not None:
+            self._reply.close_after()
+        elif self._is_idle and not self._waiting:
             self._close()
 
+    def _check_reading(self, now: float) -> None:
+        """Closes the connection of a caller that does not read its answer."""
+        if not self.output.is_full:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
+        elif now - self._full_since >= self._server.limits.idle_s:
+            self.transport.abortConnection()
+
+    @property
+    def _is_idle(self) -> bool:
+        return self._phase == (False, False)
+
     @property
     def _phase(self) -> tuple[bool, bool]:
         return self._reader.is_in_head, self._reader.is_in_body
@@ -142,10 +159,13 @@
         if self._reply is not None or self._is_closing or not self._waiting:
             return
         parsed = self._waiting.popleft()
+        # Requests already received are answered before more are read.
         if self._waiting and self._is_reading:
-            # Requests already received are answered before more are read.
             self._is_reading = False
             self.transport.pauseProducing()
+        elif not self._waiting and not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
         reply = replies.Reply(
             connection=self,
             is_head=parsed.request.method == "HEAD",
@@ -153,6 +173,7 @@
             keep=parsed.keep and not self._server.is_stopping,
         )
         self._reply = reply
+        self._upload = parsed.request.upload
         try:
             self._server.handle(parsed.request, reply)
         except Exception as error:
@@ -171,13 +192,25 @@
             connection=self, is_head=False, is_old=False, keep=False
         )
         self._reply = reply
+        # Connections over the limit are closed at once.
+        self._is_refused = status != 503
         reply.send(status, _JSON, http.make_error_body(code, message))
 
     def _close(self) -> None:
         self._is_closing = True
         self._since = self._server.read_time()
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if self._is_refused:
+            # Closing while the caller still sends makes its kernel discard
+            # the answer, so what it sends is read and dropped for a while.
+            self.output.close_sending()
+            return
+        self.output.close()
+
+    def _report_drained(self) -> None:
+        self._full_since = None
+        reply = self._reply
+        if reply is not None and reply.on_drained is not None:
+            reply.on_drained()
 
 
 class HttpServer:
