Give the second host of the machine two slots again

With one slot on both hosts the machine no longer found long work that takes every slot; that fault is now checked by the direct test of admission.

--- a/libs/calls/tests/test_at_most_once.py
+++ b/libs/calls/tests/test_at_most_once.py
@@ -124,7 +124,7 @@
             index,
             self.serial,
             keeper.Keeper.create(self.serial),
-            admission.make_priority_admission(1, queue_limit=3),
+            admission.make_priority_admission(index + 1, queue_limit=3),
         )
 
     def clock(self, host: Host) -> float:
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -228,7 +228,7 @@
         "admission",
         "        return slots - 1\n",
         "        return slots\n",
-        CALLS_TEST,
+        ADMISSION_TEST,
     ),
     Fault(
         "retry a publication blindly",
