--- a/libs/node/src/filbertlift_node/drain.py
+++ b/libs/node/src/filbertlift_node/drain.py
@@ -8,11 +8,11 @@
 
 if TYPE_CHECKING:
     from filbertlift_node import flow as flows
-    from filbertlift_node import relay as relays
+    from filbertlift_node import runs as call_runs
 
 
 def log_cut_work(
-    runs: Iterable["relays.Run"], entered: Iterable["flows.Flow"]
+    runs: Iterable["call_runs.Run"], entered: Iterable["flows.Flow"]
 ) -> int:
     """Logs every call that is cut off, once; returns the exit status.
 
--- a/libs/node/src/filbertlift_node/inbound.py
+++ b/libs/node/src/filbertlift_node/inbound.py
@@ -14,6 +14,7 @@
 from filbertlift_node import attempts
 from filbertlift_node import links as link_tables
 from filbertlift_node import relay as relays
+from filbertlift_node import runs
 from filbertlift_transport import link as links
 from filbertlift_wire import messages
 
@@ -49,7 +50,7 @@
     arrived_at: float
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
-    asker: relays.Asker | None = None
+    asker: runs.Asker | None = None
     unacknowledged: int = 0
     is_paused: bool = False
     is_withdrawn: bool = False
--- a/libs/node/src/filbertlift_node/relay.py
+++ b/libs/node/src/filbertlift_node/relay.py
@@ -15,6 +15,7 @@
 from filbertlift_config import routes
 from filbertlift_core import model
 from filbertlift_node import attempts
+from filbertlift_node import runs
 from filbertlift_transport import client
 from filbertlift_wire import messages
 
@@ -30,113 +31,6 @@
 NO_SERVICE_S = -1.0
 
 
-@attrs.define(eq=False)
-class Run:
-    """One call at this keeper, from admission to the end of its answer."""
-
-    _relay: "Relay"
-    call: messages.Call
-    route: routes.Route
-    ticket: tickets.Ticket
-    is_kept: bool
-    listeners: list[attempts.Listener]
-    started_at: float = 0.0
-    is_started: bool = False
-    is_streaming: bool = False
-    is_over: bool = False
-    is_cancelled: bool = False
-    status: int = 0
-    headers: tuple[messages.Header, ...] = ()
-    parts: list[bytes] = attrs.field(factory=list)
-    size: int = 0
-    client_call: client.ClientCall | None = None
-
-    def pause(self) -> None:
-        """Stops to read the answer of the target."""
-        if self.client_call is not None:
-            self.client_call.pause()
-
-    def resume(self) -> None:
-        """Reads the answer of the target again."""
-        if self.client_call is not None:
-            self.client_call.resume()
-
-    # Events of the target's answer.
-
-    def receive_head(
-        self,
-        status: int,
-        headers: tuple[messages.Header, ...],
-        _length: int | None,
-    ) -> None:
-        """Takes the head of the target's answer."""
-        self.status = status
-        self.headers = headers
-
-    def receive_data(self, data: bytes) -> None:
-        """Takes a part of the body; a long body is streamed from here on."""
-        if self.is_streaming:
-            self._send_chunk(messages.Chunk(0, False, False, data))
-            return
-        self.parts.append(data)
-        self.size += len(data)
-        if self.size > attempts.WHOLE_BYTES:
-            self.is_streaming = True
-            self._relay.answer(self, self._take_body(), more=True)
-
-    def receive_end(self) -> None:
-        """Takes the end of the body."""
-        self._relay.finish(self)
-
-    def receive_failure(self, failure: client.ClientFailure) -> None:
-        """Takes the failure of the connection to the target."""
-        self._relay.fail(self, failure)
-
-    def end_stream(self, failed: bool) -> None:
-        """Ends a body that was streamed."""
-        self._send_chunk(messages.Chunk(0, not failed, failed, b""))
-
-    def _take_body(self) -> bytes:
-        body = b"".join(self.parts)
-        self.parts.clear()
-        return body
-
-    def take_body(self) -> bytes:
-        """Returns the whole body that was held back."""
-        return self._take_body()
-
-    def _send_chunk(self, chunk: messages.Chunk) -> None:
-        # Only the first asker gets a stream; a repeat is told afterwards
-        # that the answer was not kept.
-        self.listeners[0].on_chunk(chunk)
-
-
-@attrs.frozen(eq=False)
-class Asker:
-    """One of those that wait for the answer of a run."""
-
-    _relay: "Relay"
-    run: Run
-    listener: attempts.Listener
-    name: str
-
-    def pause(self) -> None:
-        """Stops the stream of the answer, which goes to the first asker."""
-        if self.run.listeners[0] is self.listener:
-            self.run.pause()
-
-    def resume(self) -> None:
-        """Continues the stream of the answer."""
-        if self.run.listeners[0] is self.listener:
-            self.run.resume()
-
-    def cancel(self, on_done: Callable[[bool], None] | None) -> None:
-        """Withdraws the call if it has not started."""
-        ran = self._relay.withdraw(self)
-        if on_done is not None:
-            on_done(ran)
-
-
 @attrs.define(eq=False)
 class Relay:
     """Queue, slots and call ids beside one target.
@@ -155,7 +49,7 @@
     version: Callable[[], int]
     refusal: str | None = codes.NOT_READY
     shed: int = 0
-    _runs: dict[str, Run] = attrs.field(factory=dict)
+    _runs: dict[str, runs.Run] = attrs.field(factory=dict)
     _loops: list[task.LoopingCall] = attrs.field(factory=list)
 
     def start(self) -> None:
@@ -197,7 +91,7 @@
             and not self.queue
         )
 
-    def list_runs(self) -> list[Run]:
+    def list_runs(self) -> list[runs.Run]:
         """Returns the calls that wait or run, for the dump and the drain."""
         return list(self._runs.values())
 
@@ -206,7 +100,7 @@
         call: messages.Call,
         route: routes.Route,
         listener: attempts.Listener,
-    ) -> Asker | None:
+    ) -> runs.Asker | None:
         """Takes a call that was routed here; refusals go to the listener.
 
         Returns:
@@ -214,7 +108,7 @@
             has heard the whole answer.
         """
         if self.refusal is not None:
-            self._refuse(call, listener, self.refusal)
+            self._refuse(listener, self.refusal)
             return None
         now = self._reactor.seconds()
         deadline = now + call.deadline_ms / 1000
@@ -224,31 +118,33 @@
         is_kept = call.keyed or not route.idempotent
         if is_kept:
             known = self._begin(call, call_id, route, deadline, listener, now)
-            if isinstance(known, Run):
-                return Asker(self, known, listener, call.asker)
+            if isinstance(known, runs.Run):
+                return runs.Asker(self, known, listener, call.asker)
             if known is not None:
                 return None
         elif call_id in self._runs:
             # A hedge that came back to the same keeper.
-            self._refuse(call, listener, codes.WITHDRAWN)
+            self._refuse(listener, codes.WITHDRAWN)
             return None
         ticket = tickets.Ticket(
             call_id, call.caller, route.work_class, deadline
         )
-        run = Run(self, call, route, ticket, is_kept, [listener])
+        run = runs.Run(self, call, route, ticket, is_kept, [listener])
         self._runs[call_id] = run
         result = self.admission.offer(ticket, now)
         if isinstance(result, tickets.Start):
             self._start(run, now)
         elif isinstance(result, tickets.Shed):
             self._drop(run, result.code, result.retry_after_s)
-        return None if run.is_over else Asker(self, run, listener, call.asker)
+        return (
+            None if run.is_over else runs.Asker(self, run, listener, call.asker)
+        )
 
     def settle(self, inquiry: records.Inquiry) -> records.Settlement:
         """Says what became of a call whose link was lost."""
         return self.keeper.settle(inquiry, self._reactor.seconds())
 
-    def withdraw(self, asker: Asker) -> bool:
+    def withdraw(self, asker: runs.Asker) -> bool:
         """Takes back one asker's call; returns whether it may have run."""
         run = asker.run
         if run.is_over:
@@ -268,7 +164,7 @@
         self._end(run)
         return False
 
-    def _abandon(self, run: Run, listener: attempts.Listener) -> None:
+    def _abandon(self, run: runs.Run, listener: attempts.Listener) -> None:
         """Lets an asker go from a call that has started.
 
         The work of an idempotent call that nobody waits for is stopped; any
@@ -290,7 +186,7 @@
             )
         self._release(run, NO_SERVICE_S)
 
-    def answer(self, run: Run, body: bytes, more: bool) -> None:
+    def answer(self, run: runs.Run, body: bytes, more: bool) -> None:
         """Sends the target's answer to everyone who waits for it."""
         answer = self._make_answer(
             model.Outcome.DONE, codes.DONE, run.status, run.headers, body, more
@@ -301,7 +197,7 @@
         for listener in run.listeners:
             listener.on_answer(answer)
 
-    def finish(self, run: Run) -> None:
+    def finish(self, run: runs.Run) -> None:
         """Ends a run whose answer is complete."""
         now = self._reactor.seconds()
         if run.status == 503 and _is_shed(run.headers):
@@ -333,7 +229,7 @@
             self.answer(run, body, more=False)
         self._release(run, now - run.started_at)
 
-    def fail(self, run: Run, failure: client.ClientFailure) -> None:
+    def fail(self, run: runs.Run, failure: client.ClientFailure) -> None:
         """Ends a run whose target was lost."""
         if not failure.sent:
             self._release(run, NO_SERVICE_S)
@@ -341,7 +237,7 @@
             return
         self._end_unknown(run, codes.TARGET_LOST)
 
-    def _end_unknown(self, run: Run, code: str) -> None:
+    def _end_unknown(self, run: runs.Run, code: str) -> None:
         """Ends a run of which the target did not tell whether it is done."""
         if run.is_kept:
             self.keeper.finish(
@@ -400,7 +296,7 @@
         deadline: float,
         listener: attempts.Listener,
         now: float,
-    ) -> Run | bool | None:
+    ) -> runs.Run | bool | None:
         """Returns None for a new id, else the run joined or True."""
         head = records.CallHead(
             call_id=call_id,
@@ -415,7 +311,7 @@
         if isinstance(result, records.Begun):
             return None
         if isinstance(result, records.Refused):
-            self._refuse(call, listener, result.code, result.outcome)
+            self._refuse(listener, result.code, result.outcome)
             return True
         run = self._runs.get(call_id)
         if run is not None:
@@ -424,7 +320,7 @@
         listener.on_answer(self._make_kept_answer(result))
         return True
 
-    def _start(self, run: Run, now: float) -> None:
+    def _start(self, run: runs.Run, now: float) -> None:
         if run.is_kept:
             self.keeper.start(run.ticket.call_id)
         run.is_started = True
@@ -451,7 +347,7 @@
             ),
         )
 
-    def _drop(self, run: Run, code: str, retry_after_s: float) -> None:
+    def _drop(self, run: runs.Run, code: str, retry_after_s: float) -> None:
         """Ends a run that has certainly not run."""
         self.shed += 1
         if run.is_kept:
@@ -466,7 +362,7 @@
         for listener in run.listeners:
             listener.on_answer(answer)
 
-    def _release(self, run: Run, service_s: float) -> None:
+    def _release(self, run: runs.Run, service_s: float) -> None:
         self._end(run)
         self.carry_out(
             self.admission.release(
@@ -474,14 +370,13 @@
             )
         )
 
-    def _end(self, run: Run) -> None:
+    def _end(self, run: runs.Run) -> None:
         run.is_over = True
         run.client_call = None
         self._runs.pop(run.ticket.call_id, None)
 
     def _refuse(
         self,
-        _call: messages.Call,
         listener: attempts.Listener,
         code: str,
         outcome: model.Outcome = model.Outcome.NOT_RUN,
@@ -490,7 +385,7 @@
             self._make_answer(outcome, code, codes.get_status(code))
         )
 
-    def _tell_not_kept(self, run: Run) -> None:
+    def _tell_not_kept(self, run: runs.Run) -> None:
         answer = self._make_answer(
             model.Outcome.DONE,
             codes.NOT_KEPT,
--- /dev/null
+++ b/libs/node/src/filbertlift_node/runs.py
@@ -0,0 +1,119 @@
+"""One call at its keeper, and those who wait for its answer."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlift_calls import tickets
+from filbertlift_config import routes
+from filbertlift_node import attempts
+from filbertlift_transport import client
+from filbertlift_wire import messages
+
+if TYPE_CHECKING:
+    from filbertlift_node import relay as relays
+
+
+@attrs.define(eq=False)
+class Run:
+    """One call at this keeper, from admission to the end of its answer."""
+
+    _relay: "relays.Relay"
+    call: messages.Call
+    route: routes.Route
+    ticket: tickets.Ticket
+    is_kept: bool
+    listeners: list[attempts.Listener]
+    started_at: float = 0.0
+    is_started: bool = False
+    is_streaming: bool = False
+    is_over: bool = False
+    is_cancelled: bool = False
+    status: int = 0
+    headers: tuple[messages.Header, ...] = ()
+    parts: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+    client_call: client.ClientCall | None = None
+
+    def pause(self) -> None:
+        """Stops to read the answer of the target."""
+        if self.client_call is not None:
+            self.client_call.pause()
+
+    def resume(self) -> None:
+        """Reads the answer of the target again."""
+        if self.client_call is not None:
+            self.client_call.resume()
+
+    # Events of the target's answer.
+
+    def receive_head(
+        self,
+        status: int,
+        headers: tuple[messages.Header, ...],
+        _length: int | None,
+    ) -> None:
+        """Takes the head of the target's answer."""
+        self.status = status
+        self.headers = headers
+
+    def receive_data(self, data: bytes) -> None:
+        """Takes a part of the body; a long body is streamed from here on."""
+        if self.is_streaming:
+            self._send_chunk(messages.Chunk(0, False, False, data))
+            return
+        self.parts.append(data)
+        self.size += len(data)
+        if self.size > attempts.WHOLE_BYTES:
+            self.is_streaming = True
+            self._relay.answer(self, self.take_body(), more=True)
+
+    def receive_end(self) -> None:
+        """Takes the end of the body."""
+        self._relay.finish(self)
+
+    def receive_failure(self, failure: client.ClientFailure) -> None:
+        """Takes the failure of the connection to the target."""
+        self._relay.fail(self, failure)
+
+    def end_stream(self, failed: bool) -> None:
+        """Ends a body that was streamed."""
+        self._send_chunk(messages.Chunk(0, not failed, failed, b""))
+
+    def take_body(self) -> bytes:
+        """Returns the part of the body that was held back."""
+        body = b"".join(self.parts)
+        self.parts.clear()
+        return body
+
+    def _send_chunk(self, chunk: messages.Chunk) -> None:
+        # Only the first asker gets a stream; a repeat is told afterwards
+        # that the answer was not kept.
+        self.listeners[0].on_chunk(chunk)
+
+
+@attrs.frozen(eq=False)
+class Asker:
+    """One of those that wait for the answer of a run."""
+
+    _relay: "relays.Relay"
+    run: Run
+    listener: attempts.Listener
+    name: str
+
+    def pause(self) -> None:
+        """Stops the stream of the answer, which goes to the first asker."""
+        if self.run.listeners[0] is self.listener:
+            self.run.pause()
+
+    def resume(self) -> None:
+        """Continues the stream of the answer."""
+        if self.run.listeners[0] is self.listener:
+            self.run.resume()
+
+    def cancel(self, on_done: Callable[[bool], None] | None) -> None:
+        """Withdraws the call if it has not started."""
+        ran = self._relay.withdraw(self)
+        if on_done is not None:
+            on_done(ran)
--- a/libs/wire/src/filbertlift_wire/checks.py
+++ b/libs/wire/src/filbertlift_wire/checks.py
@@ -52,19 +52,7 @@
     )
 
 
-_CHECKS = {
-    record: _make_checks(record)
-    for record in (
-        messages.Call,
-        messages.Answer,
-        messages.Chunk,
-        messages.Credit,
-        messages.Cancel,
-        messages.Cancelled,
-        messages.Settle,
-        messages.Settled,
-    )
-}
+_CHECKS = {record: _make_checks(record) for record in messages.CALL_MESSAGES}
 
 
 def check_call(message: Any) -> None:
--- a/libs/wire/src/filbertlift_wire/frames.py
+++ b/libs/wire/src/filbertlift_wire/frames.py
@@ -20,18 +20,9 @@
 MAX_BODY_BYTES = 262_144
 PREFIX = struct.Struct(">BII")
 CONTROL = 0
-# The position is the kind, so that new ones are appended.
-CALL_MESSAGES = (
-    messages.Call,
-    messages.Answer,
-    messages.Chunk,
-    messages.Credit,
-    messages.Cancel,
-    messages.Cancelled,
-    messages.Settle,
-    messages.Settled,
-)
-_CALL_KINDS = {record: kind for kind, record in enumerate(CALL_MESSAGES, 1)}
+_CALL_KINDS = {
+    record: kind for kind, record in enumerate(messages.CALL_MESSAGES, 1)
+}
 _DECODERS: dict[int, msgspec.msgpack.Decoder[Any]] = {
     kind: msgspec.msgpack.Decoder(record)
     for record, kind in _CALL_KINDS.items()
--- a/libs/wire/src/filbertlift_wire/messages.py
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -379,3 +379,14 @@
     | Floor
 )
 Datagram = Ping | Ack | PingRequest
+# The position is the kind of frame, so that new ones are appended.
+CALL_MESSAGES = (
+    Call,
+    Answer,
+    Chunk,
+    Credit,
+    Cancel,
+    Cancelled,
+    Settle,
+    Settled,
+)
--- a/libs/wire/tests/test_frames.py
+++ b/libs/wire/tests/test_frames.py
@@ -113,7 +113,7 @@
     assert reader.call_bytes + reader.control_bytes == len(data)
 
 
-@given(st.one_of([draw_record(record) for record in frames.CALL_MESSAGES]))
+@given(st.one_of([draw_record(record) for record in messages.CALL_MESSAGES]))
 def test_call_messages_do_not_use_the_slow_codec(
     message: messages.Message,
 ) -> None:
--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,449 @@
+"""Planted faults, each with the test that has to find it."""
+
+from typing import Final
+
+import attrs
+
+CALLS_TEST: Final = "libs/calls/tests/test_at_most_once.py"
+ADMISSION_TEST: Final = "libs/calls/tests/test_admission.py"
+KEEPER_TEST: Final = "libs/calls/tests/test_keeper.py"
+PUBLISHER_TEST: Final = "libs/store/tests/test_publisher.py"
+RACE_TEST: Final = "libs/store/tests/test_publication_race.py"
+SNAPSHOT_TEST: Final = "libs/config/tests/test_snapshot.py"
+MEMBERS_TEST: Final = "libs/membership/tests/test_members.py"
+VERSIONS_TEST: Final = "libs/distribution/tests/test_versions.py"
+REPLICA_TEST: Final = "libs/distribution/tests/test_replica.py"
+
+
+@attrs.frozen
+class Fault:
+    """One planted fault.
+
+    Attributes:
+        name: what goes wrong, in a few words.
+        library: library of the module.
+        module: file name without `.py`.
+        old: text that occurs exactly once in the module.
+        new: text that replaces it.
+        test: test file that has to fail, relative to the root.
+    """
+
+    name: str
+    library: str
+    module: str
+    old: str
+    new: str
+    test: str
+
+
+FAULTS: Final = (
+    Fault(
+        "retry an ambiguous booking",
+        "calls",
+        "outcomes",
+        "    if ran and not call.idempotent:\n        return False\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run at the deadline, before the withdrawal is confirmed",
+        "calls",
+        "outcomes",
+        "    AttemptEnd.DEADLINE_SENT: codes.TIMEOUT,\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run for a link lost before settling",
+        "calls",
+        "outcomes",
+        "    if attempt.end is AttemptEnd.LINK_LOST_SENT and"
+        " call.time_left_s > 0:\n"
+        "        return SettleFirst(codes.LINK_LOST)\n",
+        "    if attempt.end is AttemptEnd.LINK_LOST_SENT:\n"
+        "        return _tell_not_run(attempt, call, codes.WITHDRAWN)\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "say not run although an earlier attempt may have run",
+        "calls",
+        "outcomes",
+        "    if call.may_have_run and not (",
+        "    if False and not (",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the incarnation in a settlement",
+        "calls",
+        "keeper",
+        "        if inquiry.incarnation != self.incarnation:\n"
+        "            return records.Settlement(call_id,",
+        "        if False:\n            return records.Settlement(call_id,",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the incarnation of a repeat",
+        "calls",
+        "keeper",
+        "        if refusal is not None:\n            return refusal\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "take the absence of a forgotten id as proof",
+        "calls",
+        "keeper",
+        "        if inquiry.age_s > RETENTION_S - LATE_S:\n",
+        "        if False:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "confirm the withdrawal of a running call",
+        "calls",
+        "keeper",
+        "        if entry.state is records.CallState.RUNNING"
+        " or len(entry.askers) > 1:\n",
+        "        if entry.state is records.CallState.RUNNING:\n"
+        "            return records.Withdrawn(call_id)\n"
+        "        if len(entry.askers) > 1:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the tombstone of a settlement",
+        "calls",
+        "keeper",
+        "        self._hold(\n"
+        "            call_id,\n"
+        "            _Entry(\n"
+        "                records.CallState.ABSENT,",
+        "        (lambda *_: None)(\n"
+        "            call_id,\n"
+        "            _Entry(\n"
+        "                records.CallState.ABSENT,",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget the tombstone of a withdrawal",
+        "calls",
+        "keeper",
+        "        self.drop(call_id, codes.WITHDRAWN, now)\n",
+        "        entry.attempt = 0\n"
+        "        self.drop(call_id, codes.WITHDRAWN, now)\n",
+        KEEPER_TEST,
+    ),
+    Fault(
+        "run every repeat of a dropped call",
+        "calls",
+        "keeper",
+        "    if call.attempt <= entry.attempt:\n        return False\n",
+        "",
+        CALLS_TEST,
+    ),
+    Fault(
+        "withdraw a call that another asker waits for",
+        "calls",
+        "keeper",
+        " or len(entry.askers) > 1:",
+        ":",
+        CALLS_TEST,
+    ),
+    Fault(
+        "run a refused copy of a reused key",
+        "calls",
+        "keeper",
+        "    entry.attempt = max(entry.attempt, call.attempt)\n"
+        "    if entry.fingerprint",
+        "    if entry.fingerprint",
+        KEEPER_TEST,
+    ),
+    Fault(
+        "answer a reused key with the answer of another request",
+        "calls",
+        "keeper",
+        "    if entry.fingerprint != call.fingerprint:\n",
+        "    if False:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "settle a reused key with the answer of another request",
+        "calls",
+        "keeper",
+        "        if is_absent or entry.fingerprint != inquiry.fingerprint:\n",
+        "        if is_absent:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "forget a running call after its retention",
+        "calls",
+        "keeper",
+        "            if entry.state in _OPEN:\n                entry.expires",
+        "            if False:\n                entry.expires",
+        CALLS_TEST,
+    ),
+    Fault(
+        "exceed the slots",
+        "calls",
+        "admission",
+        "        if self._total >= self.slots:\n",
+        "        if self._total > self.slots:\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "start work while draining",
+        "calls",
+        "admission",
+        "        if self.paused is not None:\n            return results\n",
+        "",
+        ADMISSION_TEST,
+    ),
+    Fault(
+        "serve long work first",
+        "calls",
+        "queues",
+        "        for work in _CLASSES if takes_long else _SHORT:\n",
+        "        for work in reversed(_CLASSES if takes_long else _SHORT):\n",
+        CALLS_TEST,
+    ),
+    Fault(
+        "let long work take every slot",
+        "calls",
+        "admission",
+        "        return slots - 1\n",
+        "        return slots\n",
+        ADMISSION_TEST,
+    ),
+    Fault(
+        "retry a publication blindly",
+        "store",
+        "publisher",
+        "        if record.publication == publication:\n",
+        "        if False:\n",
+        RACE_TEST,
+    ),
+    Fault(
+        "report failure after a lost answer",
+        "store",
+        "publisher",
+        "    if progress.open is not None:\n"
+        "        return _describe_open(request.publication, progress.open)\n"
+        "    reason",
+        "    reason",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "believe an answer that says conflict",
+        "store",
+        "publisher",
+        "        progress.trouble = str(error)\n        return False",
+        "        progress.open = earlier\n        return False",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "publish again when the proof has left the history",
+        "store",
+        "publisher",
+        "    if progress.open.version <= head.version - heads.HISTORY:\n",
+        "    if False:\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "delete parts without writing the head first",
+        "store",
+        "cleanup",
+        "    yield store.compare_and_swap(\n"
+        "        interface.head_key(cluster), head.revision, head.value\n"
+        "    )\n",
+        "",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "delete what the oldest version of the history names",
+        "store",
+        "cleanup",
+        "drop.version <= oldest and",
+        "drop.version <= oldest + 1 and",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "forget that a dropped part is named again",
+        "store",
+        "cleanup",
+        "    journal = remove_keys(journal, after)\n",
+        "",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "take parts as written before the head changed",
+        "store",
+        "parts",
+        "        if self._touched_at != loaded.revision:\n",
+        "        if self._touched_at == -1:\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "leave a part that exists untouched",
+        "store",
+        "parts",
+        "            expected = entry.revision if entry is not None else 0\n",
+        "            if entry is not None:\n                return\n",
+        PUBLISHER_TEST,
+    ),
+    Fault(
+        "apply a delta without checking the root",
+        "config",
+        "head",
+        "    if hash_pages(head.pages) != head.root:\n",
+        "    if False:\n",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "overwrite a section that was changed and changed back",
+        "config",
+        "publication",
+        "        if current.get_entry(name) != base.entries.get(name)\n",
+        "        if getattr(current.get_entry(name), 'hash', None)\n"
+        "        != base.get_hash(name)\n",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "accept the token of a withdrawn key",
+        "config",
+        "tokens",
+        "            if known.get(item.name)"
+        " == previous._keys.get(item.name)\n",
+        "",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "keep the caller's rights at the service that had the records",
+        "config",
+        "routes",
+        "        if found.record_depth:\n            found, since",
+        "        if caller in found.callers and found.record_depth:\n"
+        "            found, since",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "forget the version floor on restart",
+        "distribution",
+        "replica",
+        "            self.floor_table.floor_of(sender),\n",
+        "",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "settle a floor of 0 on restart",
+        "distribution",
+        "replica",
+        "self.state.settle(max(floor, self.state.newest_seen))",
+        "self.state.settle(0)",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "settle the floor before all neighbours have responded",
+        "distribution",
+        "floors",
+        "        if self.neighbours - self.responses.keys():\n"
+        "            return None\n",
+        "",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "put a candidate in force without a witness",
+        "distribution",
+        "replica",
+        "        if self._witnesses.is_alone:\n",
+        "        if True:\n",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "count a witness that a restarted node does not ask",
+        "distribution",
+        "witnesses",
+        "(self._known.get(peer, 0) for peer in self._chosen)",
+        "self._known.values()",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "accept an older version",
+        "distribution",
+        "versions",
+        "        if snapshot.version <= self.version or"
+        " snapshot.version < self.floor:\n",
+        "        if snapshot == self.in_force:\n",
+        VERSIONS_TEST,
+    ),
+    Fault(
+        "count a confirmation of a newer version for the one in force",
+        "distribution",
+        "freshness",
+        "        if version <= self.version:\n",
+        "        if True:\n",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "ignore the delay of a heartbeat",
+        "distribution",
+        "freshness",
+        "- max(transit, 0.0)",
+        "",
+        REPLICA_TEST,
+    ),
+    Fault(
+        "let an old ALIVE record replace DEAD",
+        "membership",
+        "members",
+        "    return update.state > known.state\n",
+        "    return update.state != known.state\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "forget the incarnation of an expired member",
+        "membership",
+        "members",
+        "        return self.members.get(address) or"
+        " self._forgotten.get(address)\n",
+        "        return self.members.get(address)\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "take a paused node's stale state",
+        "membership",
+        "members",
+        "        if last is None or now - last < SUSPECT_S:\n",
+        "        if True:\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "leave a suspicion of this node standing",
+        "membership",
+        "members",
+        "        if update.incarnation < self.own.incarnation:\n",
+        "        if update.incarnation <= self.own.incarnation:\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "accuse others while most own probes fail",
+        "membership",
+        "probes",
+        "if not self.is_healthy or self._allowance",
+        "if self._allowance",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "accuse without a bound",
+        "membership",
+        "probes",
+        "        return self._table.suspected < MAX_SUSPECTED\n",
+        "        return True\n",
+        MEMBERS_TEST,
+    ),
+    Fault(
+        "never contact a DEAD member that responds",
+        "membership",
+        "probes",
+        "            return [Reconnect(probe.target)]\n",
+        "            return []\n",
+        MEMBERS_TEST,
+    ),
+)
