--- a/libs/node/tests/fakes.py
+++ b/libs/node/tests/fakes.py
@@ -18,6 +18,7 @@
 from filbertlift_node import relay as relays
 from filbertlift_node import remote
 from filbertlift_transport import client
+from filbertlift_transport import link as links
 from filbertlift_transport import server
 from filbertlift_wire import messages
 
@@ -193,12 +194,16 @@
     is_opener: bool = True
     is_up: bool = True
     sent: list[Any] = attrs.field(factory=list)
+    counters: links.LinkCounters = attrs.field(factory=links.LinkCounters)
 
     def send(self, message) -> bool:
         if self.is_up:
             self.sent.append(message)
         return self.is_up
 
+    def close(self, _reason: str = "") -> None:
+        self.is_up = False
+
     def take(self, kind: type) -> Any:
         found = [item for item in self.sent if isinstance(item, kind)]
         assert found, f"no {kind.__name__} was sent"
