Tell a refused repeat as unknown, not as not run

Cause: an entry that was not ready, was leaving or had a stale version told a marked repeat 'not run' although an earlier attempt may have run; unknown outcomes could carry status 503. Change: the entry checks for a repeat before it refuses for the moment; an unknown outcome has status 502 or 504 and says so in its text.

--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -164,7 +164,7 @@
             settlements.answer_outcome(self, request.path, reply)
             return
         if self.refusal is not None:
-            self.refuse(reply, self.refusal)
+            self._refuse_for_now(request, reply, self.refusal)
             return
         service, path = split_path(request.path)
         try:
@@ -180,7 +180,7 @@
             self.refuse(reply, codes.DENIED, error.message)
             return
         if self.is_stale(route):
-            self.refuse(reply, codes.STALE_VERSION)
+            self._refuse_for_now(request, reply, codes.STALE_VERSION)
             return
         headers = request.headers
         depth = read_number(headers.get("filbertlift-depth"), 0)
@@ -216,6 +216,22 @@
             reply, model.Outcome.NOT_RUN, code, 1.0, message=message
         )
 
+    def _refuse_for_now(
+        self, request: server.Request, reply: server.Reply, code: str
+    ) -> None:
+        """Answers a call that this node does not take at the moment.
+
+        A repeat is not told "not run", since an earlier attempt of it may
+        have run, which only its keeper knows.
+        """
+        headers = request.headers
+        number = read_number(headers.get("filbertlift-attempt"), 1)
+        if "idempotency-key" not in headers or number <= 1:
+            self.refuse(reply, code)
+            return
+        self.metrics.outcomes[model.Outcome.UNKNOWN].inc()
+        replies.send_error(reply, model.Outcome.UNKNOWN, code, None)
+
     def _verify(self, request: server.Request) -> str:
         assert self.verifier is not None
         text = request.headers.get("authorization", "")
--- a/libs/node/src/filbertlift_node/replies.py
+++ b/libs/node/src/filbertlift_node/replies.py
@@ -12,6 +12,9 @@
 DEFAULT_RETRY_S = 1.0
 # Statuses of refusals that may end by themselves.
 _TEMPORARY = (429, 503)
+# Statuses of an unknown outcome.
+BAD_GATEWAY = 502
+_UNKNOWN = (BAD_GATEWAY, 504)
 _JSON = messages.Header("Content-Type", "application/json")
 
 
@@ -43,6 +46,11 @@
         *extra,
     ]
     status = codes.get_status(code)
+    if outcome is model.Outcome.UNKNOWN and status not in _UNKNOWN:
+        # The code tells why this attempt was refused, not what became of an
+        # earlier one.
+        status = BAD_GATEWAY
+        text = "Unknown: an earlier attempt may have run; this one was refused."
     if outcome is model.Outcome.NOT_RUN and status in _TEMPORARY:
         # The header counts whole seconds.
         seconds = max(1, math.ceil(retry_after_s or DEFAULT_RETRY_S))
--- a/libs/node/tests/test_flow.py
+++ b/libs/node/tests/test_flow.py
@@ -227,3 +227,25 @@
 
 def test_whole_answers_fit_one_frame() -> None:
     assert attempts.WHOLE_BYTES <= attempts.FRAME_BYTES
+
+
+def test_repeat_that_is_refused_for_now_is_unknown() -> None:
+    """Guards against "not run" for a booking whose first attempt ran.
+
+    A node that was not ready refused a marked repeat with "not run".
+    """
+    fixture, _ = make_linked()
+    fixture.entry.refusal = codes.NOT_READY
+    first = fixture.call(idempotency_key="k")
+    repeat = fixture.call(idempotency_key="k", filbertlift_attempt="2")
+    assert (first.status, first.outcome) == (503, "not-run")
+    assert (repeat.status, repeat.outcome) == (502, "unknown")
+    assert b"earlier attempt may have run" in repeat.body
+
+
+def test_unreachable_keeper_of_a_repeat_is_unknown() -> None:
+    """Guards against an unknown outcome with the status of a refusal."""
+    fixture, _ = make_linked()
+    fixture.links.reachable.clear()
+    reply = fixture.call(idempotency_key="k", filbertlift_attempt="2")
+    assert (reply.status, reply.outcome) == (502, "unknown")
