Refuse calls at one place and drop what nothing uses

Cause: reading the change again: the inbound side built refusals by hand beside the relay's own, the mapping from errors of the configuration to codes stood twice, the keeper's unknown outcome was recorded in two copies, a condition on the size of an answer was always true, and two names of the harness had no use. Change: Relay.refuse, replies.find_code, Relay._keep_unknown; the condition, Deployment.find_node and one constant are gone. Conclusion: behaviour unchanged.

--- a/libs/harness/src/filbertlift_harness/deployment.py
+++ b/libs/harness/src/filbertlift_harness/deployment.py
@@ -103,13 +103,6 @@
                 )
         return nodes
 
-    def find_node(self, name: str) -> NodeSpec:
-        """Returns the node with this name."""
-        for spec in self.nodes:
-            if spec.name == name:
-                return spec
-        raise KeyError(name)
-
     @property
     def entries(self) -> list[model.Address]:
         """Addresses of all nodes for callers."""
--- a/libs/harness/src/filbertlift_harness/processes.py
+++ b/libs/harness/src/filbertlift_harness/processes.py
@@ -13,7 +13,6 @@
 from filbertlift_harness import exceptions
 
 _TICKS = os.sysconf("SC_CLK_TCK")
-_OWN_PREFIX = "libs"
 
 
 @attrs.frozen
--- a/libs/node/src/filbertlift_node/entry.py
+++ b/libs/node/src/filbertlift_node/entry.py
@@ -170,14 +170,8 @@
         try:
             caller = self._verify(request)
             route = self.find_route(service, request.method, path, caller)
-        except config_exceptions.TokenError as error:
-            self.refuse(reply, codes.DENIED, error.message)
-            return
-        except config_exceptions.UnknownServiceError as error:
-            self.refuse(reply, codes.UNKNOWN_SERVICE, error.message)
-            return
-        except config_exceptions.RouteError as error:
-            self.refuse(reply, codes.DENIED, error.message)
+        except config_exceptions.ConfigError as error:
+            self.refuse(reply, replies.find_code(error), error.message)
             return
         if self.is_stale(route):
             self._refuse_for_now(request, reply, codes.STALE_VERSION)
--- a/libs/node/src/filbertlift_node/inbound.py
+++ b/libs/node/src/filbertlift_node/inbound.py
@@ -14,6 +14,7 @@
 from filbertlift_node import attempts
 from filbertlift_node import links as link_tables
 from filbertlift_node import relay as relays
+from filbertlift_node import replies
 from filbertlift_node import runs
 from filbertlift_transport import link as links
 from filbertlift_wire import messages
@@ -143,14 +144,8 @@
             return
         try:
             route = self._sources.find_route(call)
-        except config_exceptions.TokenError:
-            self._refuse(inbound, codes.DENIED)
-            return
-        except config_exceptions.UnknownServiceError:
-            self._refuse(inbound, codes.UNKNOWN_SERVICE)
-            return
-        except config_exceptions.RouteError:
-            self._refuse(inbound, codes.DENIED)
+        except config_exceptions.ConfigError as error:
+            self._refuse(inbound, replies.find_code(error))
             return
         if route.service != self._service:
             self._refuse(inbound, codes.STALE_ROUTE)
@@ -159,40 +154,28 @@
         if waited_ms:
             left_ms = call.deadline_ms - waited_ms
             call = attrs.evolve(call, deadline_ms=max(1, left_ms))
-        listener = attempts.Listener(
-            lambda answer: self._send_answer(inbound, answer),
-            lambda chunk: self._send_chunk(inbound, chunk),
+        inbound.asker = self._relay.accept(
+            call, route, self._make_listener(inbound)
         )
-        inbound.asker = self._relay.accept(call, route, listener)
 
     def _refuse(self, inbound: InboundCall, code: str) -> None:
-        self._send_answer(
-            inbound,
-            messages.Answer(
-                stream=0,
-                outcome=model.Outcome.NOT_RUN,
-                code=code,
-                status=codes.get_status(code),
-                headers=(),
-                queue=self._relay.queue,
-                version=self._sources.version(),
-                retry_after_ms=0,
-                retried=False,
-                incarnation=self._relay.keeper.incarnation,
-                more=False,
-                body=b"",
-            ),
+        self._relay.refuse(self._make_listener(inbound), code)
+
+    def _make_listener(self, inbound: InboundCall) -> attempts.Listener:
+        return attempts.Listener(
+            lambda answer: self._send_answer(inbound, answer),
+            lambda chunk: self._send_chunk(inbound, chunk),
         )
 
     def _send_answer(
         self, inbound: InboundCall, answer: messages.Answer
     ) -> None:
         stream = inbound.call.stream
-        if not answer.more:
+        if answer.more:
+            inbound.unacknowledged += len(answer.body)
+        else:
             self._forget(inbound)
-        if answer.more or len(answer.body) <= attempts.FRAME_BYTES:
-            inbound.unacknowledged += len(answer.body) if answer.more else 0
-            inbound.link.send(attrs.evolve(answer, stream=stream))
+        inbound.link.send(attrs.evolve(answer, stream=stream))
 
     def _send_chunk(self, inbound: InboundCall, chunk: messages.Chunk) -> None:
         stream = inbound.call.stream
--- a/libs/node/src/filbertlift_node/relay.py
+++ b/libs/node/src/filbertlift_node/relay.py
@@ -108,7 +108,7 @@
             has heard the whole answer.
         """
         if self.refusal is not None:
-            self._refuse(listener, self.refusal)
+            self.refuse(listener, self.refusal)
             return None
         now = self._reactor.seconds()
         deadline = now + call.deadline_ms / 1000
@@ -124,7 +124,7 @@
                 return None
         elif call_id in self._runs:
             # A hedge that came back to the same keeper.
-            self._refuse(listener, codes.WITHDRAWN)
+            self.refuse(listener, codes.WITHDRAWN)
             return None
         ticket = tickets.Ticket(
             call_id, call.caller, route.work_class, deadline
@@ -140,6 +140,15 @@
             None if run.is_over else runs.Asker(self, run, listener, call.asker)
         )
 
+    def refuse(
+        self,
+        listener: attempts.Listener,
+        code: str,
+        outcome: model.Outcome = model.Outcome.NOT_RUN,
+    ) -> None:
+        """Answers a call that does not run here."""
+        listener.on_answer(self._make_own_answer(outcome, code))
+
     def settle(self, inquiry: records.Inquiry) -> records.Settlement:
         """Says what became of a call whose link was lost."""
         return self.keeper.settle(inquiry, self._reactor.seconds())
@@ -177,13 +186,7 @@
         if not run.route.idempotent or run.client_call is None:
             return
         run.client_call.cancel()
-        if run.is_kept:
-            self.keeper.finish(
-                run.ticket.call_id,
-                model.Outcome.UNKNOWN,
-                None,
-                self._reactor.seconds(),
-            )
+        self._keep_unknown(run)
         self._release(run, NO_SERVICE_S)
 
     def answer(self, run: runs.Run, body: bytes, more: bool) -> None:
@@ -239,20 +242,10 @@
 
     def _end_unknown(self, run: runs.Run, code: str) -> None:
         """Ends a run of which the target did not tell whether it is done."""
-        if run.is_kept:
-            self.keeper.finish(
-                run.ticket.call_id,
-                model.Outcome.UNKNOWN,
-                None,
-                self._reactor.seconds(),
-            )
+        self._keep_unknown(run)
         if run.is_streaming:
             run.end_stream(failed=True)
-        answer = self._make_answer(
-            model.Outcome.UNKNOWN,
-            code,
-            codes.get_status(code),
-        )
+        answer = self._make_own_answer(model.Outcome.UNKNOWN, code)
         for listener in run.listeners[int(run.is_streaming) :]:
             listener.on_answer(answer)
         self._release(run, NO_SERVICE_S)
@@ -311,7 +304,7 @@
         if isinstance(result, records.Begun):
             return None
         if isinstance(result, records.Refused):
-            self._refuse(listener, result.code, result.outcome)
+            self.refuse(listener, result.code, result.outcome)
             return True
         run = self._runs.get(call_id)
         if run is not None:
@@ -353,15 +346,21 @@
         if run.is_kept:
             self.keeper.drop(run.ticket.call_id, code, self._reactor.seconds())
         self._end(run)
-        answer = self._make_answer(
-            model.Outcome.NOT_RUN,
-            code,
-            codes.get_status(code),
-            retry_after_s=retry_after_s,
+        answer = self._make_own_answer(
+            model.Outcome.NOT_RUN, code, retry_after_s
         )
         for listener in run.listeners:
             listener.on_answer(answer)
 
+    def _keep_unknown(self, run: runs.Run) -> None:
+        if run.is_kept:
+            self.keeper.finish(
+                run.ticket.call_id,
+                model.Outcome.UNKNOWN,
+                None,
+                self._reactor.seconds(),
+            )
+
     def _release(self, run: runs.Run, service_s: float) -> None:
         self._end(run)
         self.carry_out(
@@ -375,22 +374,8 @@
         run.client_call = None
         self._runs.pop(run.ticket.call_id, None)
 
-    def _refuse(
-        self,
-        listener: attempts.Listener,
-        code: str,
-        outcome: model.Outcome = model.Outcome.NOT_RUN,
-    ) -> None:
-        listener.on_answer(
-            self._make_answer(outcome, code, codes.get_status(code))
-        )
-
     def _tell_not_kept(self, run: runs.Run) -> None:
-        answer = self._make_answer(
-            model.Outcome.DONE,
-            codes.NOT_KEPT,
-            codes.get_status(codes.NOT_KEPT),
-        )
+        answer = self._make_own_answer(model.Outcome.DONE, codes.NOT_KEPT)
         for listener in run.listeners[1:]:
             listener.on_answer(answer)
 
@@ -403,11 +388,22 @@
                 if outcome is model.Outcome.DONE
                 else codes.TARGET_LOST
             )
-            return self._make_answer(outcome, code, codes.get_status(code))
+            return self._make_own_answer(outcome, code)
         return self._make_answer(
             outcome, kept.code, kept.status, kept.headers, kept.body
         )
 
+    def _make_own_answer(
+        self, outcome: model.Outcome, code: str, retry_after_s: float = 0.0
+    ) -> messages.Answer:
+        """Returns an answer without one of the target."""
+        return self._make_answer(
+            outcome,
+            code,
+            codes.get_status(code),
+            retry_after_s=retry_after_s,
+        )
+
     def _make_answer(
         self,
         outcome: model.Outcome,
--- a/libs/node/src/filbertlift_node/replies.py
+++ b/libs/node/src/filbertlift_node/replies.py
@@ -4,6 +4,7 @@
 import math
 
 from filbertlift_calls import codes
+from filbertlift_config import exceptions as config_exceptions
 from filbertlift_core import model
 from filbertlift_transport import server
 from filbertlift_wire import messages
@@ -18,6 +19,13 @@
 _JSON = messages.Header("Content-Type", "application/json")
 
 
+def find_code(error: config_exceptions.ConfigError) -> str:
+    """Returns the code of a call that the configuration refuses."""
+    if isinstance(error, config_exceptions.UnknownServiceError):
+        return codes.UNKNOWN_SERVICE
+    return codes.DENIED
+
+
 def send_error(
     reply: server.Reply,
     outcome: model.Outcome,
