--- a/libs/core/src/filbertlift_core/logs.py
+++ b/libs/core/src/filbertlift_core/logs.py
@@ -1,5 +1,10 @@
-"""Logs: one line of key=value pairs for each event, written by eliot."""
+"""Logs: one line of key=value pairs for each event, written by eliot.
 
+A process may name a writer of its own instead. eliot is loaded only when it
+is used, because that takes a tenth of a second and some megabytes.
+"""
+
+from collections.abc import Callable
 import datetime
 import json
 import re
@@ -7,8 +12,6 @@
 from typing import Any
 from typing import TextIO
 
-import eliot
-
 # eliot adds these fields to relate actions; one line an event needs none.
 _HIDDEN = ("task_uuid", "task_level", "timestamp", "message_type")
 _PLAIN = re.compile(r"[^\s\"=]+")
@@ -38,6 +41,15 @@
     return " ".join(pairs)
 
 
+_writer: Callable[..., None] | None = None
+
+
+def set_writer(writer: Callable[..., None] | None) -> None:
+    """Sends later events to a function; None returns to eliot."""
+    global _writer
+    _writer = writer
+
+
 def start_logs(stream: TextIO = sys.stderr) -> None:
     """Sends every later event to the stream, one line each."""
 
@@ -45,9 +57,16 @@
         stream.write(format_event(message) + "\n")
         stream.flush()
 
+    import eliot
+
     eliot.add_destinations(write)
 
 
 def log_event(event: str, **fields: Any) -> None:
     """Records one event with its fields."""
+    if _writer is not None:
+        _writer(event, **fields)
+        return
+    import eliot
+
     eliot.log_message(message_type=event, **fields)
--- /dev/null
+++ b/libs/mesh/src/filbertlift_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a node beside a target: routes, placement, queueing, repeats."""
--- /dev/null
+++ b/libs/mesh/src/filbertlift_mesh/backlog.py
@@ -0,0 +1,248 @@
+"""Slots and waiting calls beside one target.
+
+This node alone reaches the target, so what runs and what waits is known
+exactly, and a call refused here has certainly not run. It answers a swing of
+demand above the slots: more urgent calls go first, then those whose objective
+can still be met, the one with the least slack first. A call that cannot be
+answered in the time it has is refused at once, with the wait as forecast.
+"""
+
+import enum
+from typing import Final
+
+import attrs
+
+from filbertlift_mesh import exceptions
+
+# Weight of the newest service time once ten were measured.
+MEAN_GAIN: Final = 0.1
+# Service time of a class before any was measured, in seconds.
+FIRST_SERVICE_S: Final = 0.1
+# Waiting calls at most; each is scanned when a slot becomes free.
+MAX_WAITING: Final = 500
+# A caller that is told to come back any later may as well ask another time.
+MAX_RETRY_AFTER_S: Final = 5.0
+
+
+@attrs.define(eq=False)
+class Mean:
+    """Running average of times, in seconds."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, sample: float) -> None:
+        """Adds one sample."""
+        self.count += 1
+        gain = max(MEAN_GAIN, 1.0 / self.count)
+        self.value += gain * (sample - self.value)
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One call that wants a slot.
+
+    Attributes:
+        request_id: id of the request, for logs.
+        work_class: calls of one class are expected to take similar times.
+        priority: rank; 0 goes first.
+        objective_at: when the answer loses value, in seconds.
+        deadline: when the answer is of no use, in seconds.
+        offered_at: when it arrived here, in seconds.
+        started_at: when it was sent to the target; None while it waits.
+    """
+
+    request_id: str
+    work_class: str
+    priority: int
+    objective_at: float
+    deadline: float
+    offered_at: float = 0.0
+    started_at: float | None = None
+
+
+class Refusal(enum.Enum):
+    """Why a call was turned away without having run."""
+
+    FULL = "queue-full"
+    LATE = "too-late"
+    SLOW = "wait-too-long"
+
+
+@attrs.frozen
+class Refused:
+    """The call was turned away.
+
+    Attributes:
+        reason: why.
+        retry_after_s: when there should be room.
+    """
+
+    reason: Refusal
+    retry_after_s: float
+
+
+@attrs.frozen
+class Started:
+    """The call has a slot; it is to be sent to the target."""
+
+
+@attrs.frozen
+class Waiting:
+    """The call waits for a slot."""
+
+
+STARTED: Final = Started()
+WAITING: Final = Waiting()
+
+
+@attrs.define(eq=False)
+class Backlog:
+    """Slots and waiting calls of one target.
+
+    Attributes:
+        slots: calls that the target runs at once.
+        running: calls that hold a slot.
+        waiting: calls without one, in order of arrival.
+        mean: service time over all classes.
+        means: service time by class.
+    """
+
+    slots: int = 0
+    running: set[Ticket] = attrs.field(factory=set)
+    waiting: list[Ticket] = attrs.field(factory=list)
+    mean: Mean = attrs.field(factory=Mean)
+    means: dict[str, Mean] = attrs.field(factory=dict)
+
+    @property
+    def busy(self) -> int:
+        """Calls that run or wait."""
+        return len(self.running) + len(self.waiting)
+
+    def offer(
+        self, ticket: Ticket, max_wait_s: float, now: float
+    ) -> Started | Waiting | Refused:
+        """Decides on a call that arrived.
+
+        Args:
+            ticket: the call.
+            max_wait_s: the sender has something better than a longer wait.
+            now: seconds.
+        """
+        ticket.offered_at = now
+        service_s = self.get_service_time(ticket.work_class)
+        if len(self.running) < self.slots and not self.waiting:
+            if ticket.deadline <= now:
+                return Refused(Refusal.LATE, 0.0)
+            return self._start(ticket, now)
+        wait_s = self.estimate_wait(ticket, now)
+        if len(self.waiting) >= MAX_WAITING:
+            return self._refuse(Refusal.FULL, wait_s)
+        if now + wait_s + service_s > ticket.deadline:
+            return self._refuse(Refusal.LATE, wait_s)
+        if wait_s > max_wait_s:
+            return self._refuse(Refusal.SLOW, wait_s)
+        self.waiting.append(ticket)
+        return WAITING
+
+    def release(self, ticket: Ticket, measures: bool, now: float) -> None:
+        """Gives a slot back.
+
+        Args:
+            ticket: a started call.
+            measures: whether the time it took tells of the target's speed.
+            now: seconds.
+
+        Raises:
+            BacklogError: if the call holds no slot.
+        """
+        if ticket not in self.running or ticket.started_at is None:
+            raise exceptions.BacklogError(
+                f"request {ticket.request_id} holds no slot"
+            )
+        self.running.remove(ticket)
+        if not measures:
+            return
+        spent = now - ticket.started_at
+        self.mean.add(spent)
+        self.means.setdefault(ticket.work_class, Mean()).add(spent)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Takes a waiting call out; returns whether it was waiting."""
+        if ticket not in self.waiting:
+            return False
+        self.waiting.remove(ticket)
+        return True
+
+    def drop_late(self, now: float) -> list[Ticket]:
+        """Takes out the waiting calls that can no longer be served in time."""
+        late = [
+            ticket
+            for ticket in self.waiting
+            if now + self._get_least_time(ticket.work_class) >= ticket.deadline
+        ]
+        for ticket in late:
+            self.waiting.remove(ticket)
+        return late
+
+    def clear(self) -> list[Ticket]:
+        """Takes out all waiting calls."""
+        waiting, self.waiting = self.waiting, []
+        return waiting
+
+    def start_next(self, now: float) -> Ticket | None:
+        """Gives a free slot to the waiting call that goes first."""
+        if not self.waiting or len(self.running) >= self.slots:
+            return None
+        ticket = min(self.waiting, key=lambda item: self._rank(item, now))
+        self.waiting.remove(ticket)
+        self._start(ticket, now)
+        return ticket
+
+    def get_service_time(self, work_class: str) -> float:
+        """Returns how long a call of a class is expected to run, in seconds."""
+        mean = self.means.get(work_class)
+        if mean is not None:
+            return mean.value
+        return self.mean.value if self.mean.count else FIRST_SERVICE_S
+
+    def estimate_wait(self, ticket: Ticket, now: float) -> float:
+        """Returns the expected wait of a call that is not yet waiting."""
+        if not self.slots:
+            return MAX_RETRY_AFTER_S
+        rank = self._rank(ticket, now)
+        ahead_s = sum(
+            self.get_service_time(other.work_class)
+            for other in self.waiting
+            if self._rank(other, now) <= rank
+        )
+        free = self.slots - len(self.running)
+        if free > 0 and not ahead_s:
+            return 0.0
+        running_s = sum(
+            self._estimate_rest(other, now) for other in self.running
+        )
+        first_s = running_s / max(1, len(self.running)) / self.slots
+        return first_s + ahead_s / self.slots
+
+    def _rank(self, ticket: Ticket, now: float) -> tuple[int, bool, float]:
+        latest = ticket.objective_at - self.get_service_time(ticket.work_class)
+        return ticket.priority, latest < now, latest
+
+    def _estimate_rest(self, ticket: Ticket, now: float) -> float:
+        assert ticket.started_at is not None
+        spent = now - ticket.started_at
+        mean = self.get_service_time(ticket.work_class)
+        # Past its mean, a call has about half a mean left: times have a tail.
+        return max(mean - spent, mean / 2)
+
+    def _get_least_time(self, work_class: str) -> float:
+        return self.get_service_time(work_class) / 2
+
+    def _start(self, ticket: Ticket, now: float) -> Started:
+        ticket.started_at = now
+        self.running.add(ticket)
+        return STARTED
+
+    def _refuse(self, reason: Refusal, wait_s: float) -> Refused:
+        return Refused(reason, min(wait_s, MAX_RETRY_AFTER_S))
--- /dev/null
+++ b/libs/mesh/src/filbertlift_mesh/exceptions.py
@@ -0,0 +1,21 @@
+"""Errors of the mesh decisions."""
+
+from filbertlift_core import exceptions
+
+
+class MeshError(exceptions.FilbertliftError):
+    """Base of the errors of this library."""
+
+    code = "FL-MESH"
+
+
+class ConfigurationError(MeshError):
+    """A configuration is not complete or not consistent; none of it is used."""
+
+    code = "FL-MESH-CONFIGURATION"
+
+
+class BacklogError(MeshError):
+    """A slot was given back that was not held."""
+
+    code = "FL-MESH-BACKLOG"
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -0,0 +1,407 @@
+"""One call at its entry: attempts, repeats, its end."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+import attrs
+
+from filbertlift_core import model
+from filbertlift_mesh import configuration
+from filbertlift_mesh import outcomes
+from filbertlift_mesh import placement
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import keeper
+from filbertlift_sidecar import remote
+from filbertlift_transport import http
+from filbertlift_transport import reply as replies
+
+if TYPE_CHECKING:
+    from filbertlift_sidecar import entry as entries
+
+AttemptEnd = outcomes.AttemptEnd
+Step = outcomes.Step
+# Part of the time to the objective that a first choice may keep a call waiting
+# while there are others to ask.
+FIRST_WAIT_PART: Final = 0.6
+# A repeatable call is sent to a second target when the first has been silent
+# for several times what it should take, and at least this long, in seconds.
+HEDGE_FACTOR: Final = 4.0
+LEAST_HEDGE_S: Final = 0.3
+# Reasons of a keeper that say that this node's picture of it is out of date.
+_STALE_REASONS: Final = frozenset(
+    ("no-target", "target-leaving", "target-down", "other-service", "leaving")
+)
+SLOW: Final = "wait-too-long"
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt of a call.
+
+    Attributes:
+        view: the target that was chosen.
+        withdraw: takes the call back.
+        is_over: whether it ended.
+    """
+
+    view: placement.TargetView
+    is_hedge: bool
+    withdraw: Callable[[], None] | None = None
+    is_over: bool = False
+
+
+@attrs.define(eq=False)
+class Flow:
+    """A call under way.
+
+    Attributes:
+        entry: the entry that took it.
+        request: what the caller sent.
+        reply: the answer to the caller.
+        route: its route.
+        service: the service that it was routed to.
+        headers: headers for the target.
+        started_at: when it arrived, in seconds.
+        deadline: when it is answered in any case.
+        caller_deadline: when its caller stops waiting.
+        version: version of the configuration that routed it.
+    """
+
+    entry: "entries.Entry"
+    request: http.Request
+    reply: replies.Reply
+    route: configuration.Route
+    service: str
+    headers: frames.Headers
+    started_at: float
+    deadline: float
+    caller_deadline: float
+    version: int
+    sent: int = 0
+    refusals: int = 0
+    is_over: bool = False
+    _has_begun: bool = False
+    _attempts: list[Attempt] = attrs.field(factory=list)
+    _tried: set[model.Address] = attrs.field(factory=set)
+    _slow: set[model.Address] = attrs.field(factory=set)
+    _is_patient: bool = False
+    _retry_after_s: float = 0.0
+    _last_reason: str = "no-target"
+    _timer: Any = None
+    _hedge_timer: Any = None
+
+    def start(self) -> None:
+        """Makes the first attempt."""
+        self.entry.flows.add(self)
+        self.reply.on_gone = self._lose_caller
+        left_s = max(0.0, self.deadline - self._now())
+        self._timer = self.entry.reactor.callLater(left_s, self._time_out)
+        self._try()
+
+    def _now(self) -> float:
+        now: float = self.entry.reactor.seconds()
+        return now
+
+    # Attempts.
+
+    def _try(self, is_hedge: bool = False) -> None:
+        now = self._now()
+        view = self._choose(now)
+        if view is None:
+            if not is_hedge:
+                self._refuse()
+            return
+        attempt = Attempt(view, is_hedge)
+        self._attempts.append(attempt)
+        self._tried.add(view.address)
+        self.sent += 1
+        view.note_sent()
+        if not is_hedge:
+            self._set_hedge(view, now)
+        withdraw = self.entry.submit(
+            view,
+            self._get_lane(),
+            self._make_call(now),
+            lambda answer: self._receive(attempt, answer),
+            lambda chunk: self._receive_chunk(attempt, chunk),
+        )
+        if not attempt.is_over:
+            attempt.withdraw = withdraw
+
+    def _choose(self, now: float) -> placement.TargetView | None:
+        places = self.entry.placement
+        wish = placement.make_wish(self.route, self.service, self._tried)
+        view = places.choose(wish, now)
+        if view is None and self._slow and not self._is_patient:
+            # Every target has a queue: wait in the shortest one.
+            self._is_patient = True
+            self._tried -= self._slow
+            wish = placement.make_wish(self.route, self.service, self._tried)
+            view = places.choose(wish, now)
+        return view
+
+    def _make_call(self, now: float) -> frames.Call:
+        left_s = max(0.001, self.deadline - now)
+        objective_s = self.started_at + self.route.objective_s - now
+        max_wait_s = left_s
+        if not self._is_patient and objective_s > 0:
+            max_wait_s = FIRST_WAIT_PART * objective_s
+        request = self.request
+        return frames.Call(
+            0,
+            self.entry.find_id(request),
+            self.service,
+            request.method,
+            request.path,
+            self.headers,
+            request.body,
+            int(left_s * 1000),
+            int(objective_s * 1000),
+            int(max_wait_s * 1000),
+            self.route.work_class,
+            self.route.priority,
+            self.route.is_idempotent,
+        )
+
+    def _get_lane(self) -> str:
+        if self.route.kind is configuration.CallKind.DOWNLOAD:
+            return remote.BULK
+        return remote.SMALL
+
+    def _set_hedge(self, view: placement.TargetView, now: float) -> None:
+        if not self.route.is_idempotent or self.route.max_attempts < 2:
+            return
+        if self._hedge_timer is not None:
+            return
+        wish = placement.make_wish(self.route, self.service, ())
+        expected_s = self.entry.placement.estimate_cost(view, wish, now)
+        delay_s = max(LEAST_HEDGE_S, HEDGE_FACTOR * expected_s)
+        if now + delay_s + expected_s < self.deadline:
+            self._hedge_timer = self.entry.reactor.callLater(
+                delay_s, self._hedge
+            )
+
+    def _hedge(self) -> None:
+        self._hedge_timer = None
+        if self.is_over or self._has_begun or len(self._attempts) != 1:
+            return
+        if self.sent >= self.route.max_attempts:
+            return
+        now = self._now()
+        if not self.entry.budget.take(self.service, now):
+            return
+        first = self._attempts[0]
+        first.view.note_result(True, now)
+        self.entry.events.log_request(
+            "entry.hedge",
+            id=self.entry.find_id(self.request),
+            silent=first.view.address,
+            waited_s=now - self.started_at,
+        )
+        self._try(is_hedge=True)
+
+    # Ends of attempts.
+
+    def _receive(self, attempt: Attempt, answer: frames.Answer) -> None:
+        now = self._now()
+        end = AttemptEnd(answer.end)
+        self._note_answer(attempt, answer, end, now)
+        if self.is_over:
+            return
+        if answer.more:
+            self._begin_stream(attempt, answer)
+            return
+        self._attempts.remove(attempt)
+        self._last_reason = answer.reason
+        if end is AttemptEnd.NOT_RUN:
+            self._note_refusal(attempt, answer)
+        if self._attempts and end is not AttemptEnd.ANSWERED:
+            # The other attempt may still be answered.
+            return
+        progress = outcomes.CallProgress(
+            self.route, self.sent, self.refusals, self.deadline - now
+        )
+        self._take_step(outcomes.decide_step(end, progress), end, answer, now)
+
+    def _take_step(
+        self, step: Step, end: AttemptEnd, answer: frames.Answer, now: float
+    ) -> None:
+        if step is Step.REPEAT and not self.entry.budget.take(
+            self.service, now
+        ):
+            step = outcomes.decide_without_repeat(end)
+        if step is Step.RELAY:
+            self._relay(answer)
+        elif step is Step.FAIL:
+            self._fail(502, answer.reason)
+        elif step is Step.REFUSE:
+            self._refuse()
+        else:
+            self.entry.events.log_request(
+                "entry.again",
+                id=self.entry.find_id(self.request),
+                step=step.name.lower(),
+                reason=answer.reason,
+                target=answer.target_id,
+                sent=self.sent,
+                left_s=self.deadline - now,
+            )
+            self._try()
+
+    def _note_answer(
+        self,
+        attempt: Attempt,
+        answer: frames.Answer,
+        end: AttemptEnd,
+        now: float,
+    ) -> None:
+        view = attempt.view
+        places = self.entry.placement
+        if not answer.more and not attempt.is_over:
+            attempt.is_over = True
+            view.note_end()
+        if answer.reason.startswith("link-"):
+            places.avoid(view.address, now)
+            return
+        places.note_reached(view.address)
+        view.note_load(answer.busy, now)
+        if end is AttemptEnd.NOT_RUN:
+            if answer.reason in _STALE_REASONS:
+                places.avoid(view.address, now)
+            return
+        view.note_result(end is not AttemptEnd.ANSWERED, now)
+        if answer.service_us:
+            view.note_service(
+                self.route.work_class, answer.service_us / 1_000_000
+            )
+
+    def _note_refusal(self, attempt: Attempt, answer: frames.Answer) -> None:
+        self.sent -= 1
+        self.refusals += 1
+        self._retry_after_s = answer.retry_after_ms / 1000
+        if answer.reason == SLOW:
+            self._slow.add(attempt.view.address)
+
+    def _begin_stream(self, attempt: Attempt, answer: frames.Answer) -> None:
+        self._has_begun = True
+        self._withdraw_others(attempt)
+        length = answer.length if answer.length >= 0 else None
+        self.reply.start(
+            answer.status, keeper.strip_framing(answer.headers), length
+        )
+        self.reply.write(answer.body)
+
+    def _receive_chunk(self, attempt: Attempt, chunk: frames.Chunk) -> None:
+        if chunk.is_last and not attempt.is_over:
+            attempt.is_over = True
+            attempt.view.note_end()
+        if self.is_over:
+            return
+        self.reply.write(chunk.body)
+        if not chunk.is_last:
+            return
+        self._attempts.remove(attempt)
+        self._end("cut" if chunk.failed else "ok", 0)
+        if chunk.failed:
+            self.reply.abort()
+        else:
+            self.reply.finish()
+
+    # Ends of the call.
+
+    def _relay(self, answer: frames.Answer) -> None:
+        self._end(answer.reason, answer.status, answer.target_id)
+        self.reply.send(
+            answer.status, keeper.strip_framing(answer.headers), answer.body
+        )
+
+    def _refuse(self) -> None:
+        now = self._now()
+        wait_s = max(
+            self._retry_after_s,
+            self.entry.placement.estimate_retry(self.service, now),
+        )
+        self._end(self._last_reason, 503)
+        self.entry.refuse(
+            self.reply,
+            self.request,
+            self._last_reason,
+            wait_s,
+            service=self.service,
+            version=self.version,
+            refusals=self.refusals,
+            waited_s=now - self.started_at,
+        )
+
+    def _fail(self, status: int, reason: str) -> None:
+        self._end(reason, status)
+        self.entry.events.log_request(
+            "entry.failed",
+            id=self.entry.find_id(self.request),
+            status=status,
+            reason=reason,
+            service=self.service,
+            version=self.version,
+            sent=self.sent,
+            waited_s=self._now() - self.started_at,
+        )
+        self.entry.answer(self.reply, self.request, status, reason)
+
+    def _time_out(self) -> None:
+        if self.is_over:
+            return
+        if self._has_begun:
+            left_s = self.caller_deadline - self._now()
+            if left_s > 0:
+                self._timer = self.entry.reactor.callLater(
+                    left_s, self._time_out
+                )
+                return
+            self._end("cut-at-deadline", 0)
+            self.reply.abort()
+            return
+        self._fail(504, "timeout")
+
+    def _lose_caller(self) -> None:
+        if self.is_over:
+            return
+        self.entry.events.log_request(
+            "entry.caller-gone",
+            id=self.entry.find_id(self.request),
+            sent=self.sent,
+            waited_s=self._now() - self.started_at,
+        )
+        self._end("caller-gone", 0)
+
+    def _end(self, reason: str, status: int, target_id: str = "") -> None:
+        self.is_over = True
+        self.entry.flows.discard(self)
+        for timer in (self._timer, self._hedge_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self._withdraw_others(None)
+        spent_s = self._now() - self.started_at
+        self.entry.metrics.note_call(reason, status, spent_s)
+        if 200 <= status < 500:
+            self.entry.events.log_request(
+                "entry.answered",
+                id=self.entry.find_id(self.request),
+                status=status,
+                route=self.route.name,
+                version=self.version,
+                service=self.service,
+                target=target_id,
+                took_s=spent_s,
+            )
+
+    def _withdraw_others(self, kept: Attempt | None) -> None:
+        for attempt in self._attempts:
+            if attempt is kept or attempt.is_over:
+                continue
+            attempt.is_over = True
+            attempt.view.note_end()
+            if attempt.withdraw is not None:
+                attempt.withdraw()
+        self._attempts = [kept] if kept is not None else []
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -0,0 +1,283 @@
+"""Datagrams between nodes: digests, records, news of a configuration."""
+
+from collections.abc import Callable
+import random
+import socket
+import struct
+from typing import Any
+from typing import Final
+
+import attrs
+import msgspec
+from twisted.internet import protocol
+
+from filbertlift_core import model
+from filbertlift_mesh import directory
+from filbertlift_sidecar import eventlog
+
+# Digests are exchanged this often, in seconds.
+ROUND_S: Final = 1.0
+# Peers asked in a round: in this region always, in another one sometimes,
+# since every byte there is paid for.
+NEAR_PEERS: Final = 2
+FAR_SHARE: Final = 0.3
+# A change is told to so many random peers by each host that learns of it;
+# three or four steps reach a hundred hosts.
+FANOUT: Final = 4
+# Records in one datagram, so that it stays well below 64 KB.
+MAX_RECORDS: Final = 200
+
+_Row = tuple[int, int, int, int, int]
+_Record = tuple[
+    int, int, int, int, str, str, bool, str, int, str, int, int, bool
+]
+_DIGEST: Final = 0
+_RECORDS: Final = 1
+_NEWS: Final = 2
+
+
+@attrs.frozen
+class _Datagram:
+    kind: int
+    version: int
+    rows: list[_Row]
+    records: list[_Record]
+    wanted: list[tuple[int, int]]
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(
+    tuple[int, int, list[_Row], list[_Record], list[tuple[int, int]]]
+)
+
+
+@attrs.frozen
+class GossipEvents:
+    """Functions that the gossip calls.
+
+    Attributes:
+        on_records: records of other hosts changed.
+        on_version: a peer has this version of the configuration in force.
+    """
+
+    on_records: Callable[[], None]
+    on_version: Callable[[model.Address, int], None]
+
+
+class Gossip(protocol.DatagramProtocol):
+    """Exchanges records of hosts with peers over UDP."""
+
+    noisy = False
+    transport: Any
+
+    def __init__(
+        self,
+        reactor: Any,
+        table: directory.Directory,
+        events: GossipEvents,
+        log: eventlog.EventLog,
+        rng: random.Random,
+        read_version: Callable[[], int],
+    ) -> None:
+        self._reactor = reactor
+        self._table = table
+        self._events = events
+        self._log = log
+        self._rng = rng
+        self._read_version = read_version
+        self._port: Any = None
+        self._round_call: Any = None
+
+    def start(self) -> None:
+        """Opens the port and starts the rounds; raises CannotListenError."""
+        own = self._table.own.address
+        self._port = self._reactor.listenUDP(
+            own.port, self, interface=own.host, maxPacketSize=65_536
+        )
+        self._set_round()
+
+    def close(self) -> None:
+        """Stops the rounds and closes the port."""
+        if self._round_call is not None and self._round_call.active():
+            self._round_call.cancel()
+        if self._port is not None:
+            self._port.stopListening()
+
+    def greet(self, address: model.Address) -> None:
+        """Tells a host of this one and asks for what it knows."""
+        self._send(address, _RECORDS, records=[self._table.own])
+        self._send_digest(address)
+
+    def announce(self) -> None:
+        """Tells every live host of a change of this one."""
+        for record in self._table.list_live(self._reactor.seconds()):
+            self._send(record.address, _RECORDS, records=[self._table.own])
+
+    def tell_version(self) -> None:
+        """Tells some peers which configuration is in force here."""
+        live = self._table.list_live(self._reactor.seconds())
+        for record in self._rng.sample(live, min(FANOUT, len(live))):
+            self._send(record.address, _NEWS)
+
+    # Twisted's protocol interface.
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Handles a datagram; one that cannot be read is logged."""
+        try:
+            message = _Datagram(*_DECODER.decode(datagram))
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            self._log.log_request(
+                "gossip.malformed", peer=f"{addr[0]}:{addr[1]}", error=error
+            )
+            return
+        self._receive(model.Address(addr[0], addr[1]), message)
+
+    def _receive(self, peer: model.Address, message: _Datagram) -> None:
+        now = self._reactor.seconds()
+        table = self._table
+        table.note_heard(peer, now)
+        try:
+            records = [_decode_record(row) for row in message.records]
+        except ValueError as error:
+            self._log.log_request("gossip.malformed", peer=peer, error=error)
+            return
+        if table.merge_records(records, now):
+            self._events.on_records()
+        if message.rows:
+            difference = table.merge_digest(
+                [_decode_row(row) for row in message.rows], now
+            )
+            if message.kind == _DIGEST:
+                self._answer_digest(peer, difference, now)
+            elif difference.wanted:
+                self._send(peer, _RECORDS, wanted=difference.wanted)
+        if message.wanted:
+            asked = [
+                table.find_record(_unpack_address(*pair))
+                for pair in message.wanted
+            ]
+            found = [record for record in asked if record is not None]
+            self._send(peer, _RECORDS, records=found)
+        if message.version > self._read_version():
+            self._events.on_version(peer, message.version)
+
+    def _answer_digest(
+        self,
+        peer: model.Address,
+        difference: directory.DigestDifference,
+        now: float,
+    ) -> None:
+        self._send(
+            peer,
+            _RECORDS,
+            rows=self._table.make_digest(now),
+            records=difference.newer_here[:MAX_RECORDS],
+            wanted=difference.wanted,
+        )
+
+    def _set_round(self) -> None:
+        delay_s = ROUND_S * (0.9 + 0.2 * self._rng.random())
+        self._round_call = self._reactor.callLater(delay_s, self._run_round)
+
+    def _run_round(self) -> None:
+        self._set_round()
+        table = self._table
+        table.beat += 1
+        now = self._reactor.seconds()
+        table.drop_silent(now)
+        region = table.own.place.region
+        live = table.list_live(now)
+        near = [item for item in live if item.place.region == region]
+        far = [item for item in live if item.place.region != region]
+        for record in self._rng.sample(near, min(NEAR_PEERS, len(near))):
+            self._send_digest(record.address)
+        if far and (not near or self._rng.random() < FAR_SHARE):
+            self._send_digest(self._rng.choice(far).address)
+        self._events.on_records()
+
+    def _send_digest(self, address: model.Address) -> None:
+        rows = self._table.make_digest(self._reactor.seconds())
+        self._send(address, _DIGEST, rows=rows)
+
+    def _send(
+        self,
+        address: model.Address,
+        kind: int,
+        rows: Any = (),
+        records: Any = (),
+        wanted: Any = (),
+    ) -> None:
+        if self.transport is None:
+            return
+        data = _ENCODER.encode(
+            (
+                kind,
+                self._read_version(),
+                [_encode_row(row) for row in rows],
+                [_encode_record(record) for record in records],
+                [_pack_address(address) for address in wanted],
+            )
+        )
+        try:
+            self.transport.write(data, (address.host, address.port))
+        except OSError as error:
+            self._log.log_request("gossip.unsent", peer=address, error=error)
+
+
+def _pack_address(address: model.Address) -> tuple[int, int]:
+    number = struct.unpack(">I", socket.inet_aton(address.host))[0]
+    return number, address.port
+
+
+def _unpack_address(number: int, port: int) -> model.Address:
+    return model.Address(
+        socket.inet_ntoa(struct.pack(">I", number & 0xFFFFFFFF)), port
+    )
+
+
+def _encode_row(row: directory.DigestRow) -> _Row:
+    number, port = _pack_address(row.address)
+    return number, port, row.incarnation_ms, row.revision, row.beat
+
+
+def _decode_row(row: _Row) -> directory.DigestRow:
+    return directory.DigestRow(_unpack_address(row[0], row[1]), *row[2:])
+
+
+def _encode_record(record: directory.HostRecord) -> _Record:
+    number, port = _pack_address(record.address)
+    target = record.target
+    return (
+        number,
+        port,
+        record.incarnation_ms,
+        record.revision,
+        record.place.region,
+        record.place.data_centre,
+        record.is_leaving,
+        target.target_id if target else "",
+        target.born_ms if target else 0,
+        target.service if target else "",
+        target.slots if target else 0,
+        int(target.state) if target else 0,
+        record.has_store,
+    )
+
+
+def _decode_record(row: _Record) -> directory.HostRecord:
+    target = None
+    if row[7]:
+        target = directory.TargetRecord(
+            row[7], row[8], row[9], row[10], directory.TargetState(row[11])
+        )
+    return directory.HostRecord(
+        _unpack_address(row[0], row[1]),
+        row[2],
+        row[3],
+        model.Place(row[4], row[5]),
+        row[6],
+        target,
+        row[12],
+    )
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -0,0 +1,394 @@
+"""Calls for the target beside this node: queue, slots and at most once.
+
+Only this node reaches the target. So it alone decides when a call starts, and
+what it says of a call that has not run is certain.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import attrs
+
+from filbertlift_mesh import announcements
+from filbertlift_mesh import backlog as backlogs
+from filbertlift_mesh import directory
+from filbertlift_mesh import outcomes
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import exchange
+from filbertlift_sidecar import frames
+from filbertlift_transport import http
+
+# Waiting calls are looked at this often, in seconds, to refuse those that can
+# no longer be served in time.
+POLL_S: Final = 0.02
+# A target that refused a connection is not tried again for this time, in
+# seconds; what waits meanwhile may run elsewhere.
+DOWN_S: Final = 0.5
+# A run whose caller is gone holds its slot at most this long after its
+# deadline, in seconds.
+RUN_GRACE_S: Final = 1.0
+# What a target may answer that would tell a caller that nothing has run.
+PROMISE_STATUSES: Final = frozenset((408, 421, 429, 503))
+
+AnswerFunction = Callable[[frames.Answer], None]
+ChunkFunction = Callable[[frames.Chunk], None]
+AttemptEnd = outcomes.AttemptEnd
+
+
+@attrs.define(eq=False)
+class KeptCall:
+    """One call at this keeper.
+
+    Attributes:
+        call: what was asked.
+        ticket: its place in the backlog.
+        is_over: whether its end was reported or nobody waits for it.
+    """
+
+    call: frames.Call
+    ticket: backlogs.Ticket
+    on_answer: AnswerFunction
+    on_chunk: ChunkFunction
+    is_over: bool = False
+    target_id: str = ""
+    has_begun: bool = False
+    connection: exchange.TargetConnection | None = None
+    guard: Any = None
+
+
+@attrs.define(eq=False)
+class Keeper:
+    """Queue and slots beside the target.
+
+    Attributes:
+        target: what the target said of itself.
+        backlog: slots and waiting calls.
+        refusal: why no call is taken at all, or empty.
+        started: calls sent to the target so far.
+        refused: calls turned away so far.
+    """
+
+    reactor: Any
+    target: announcements.LocalTarget
+    pool: exchange.TargetPool
+    events: eventlog.EventLog
+    backlog: backlogs.Backlog = attrs.field(factory=backlogs.Backlog)
+    refusal: str = ""
+    started: int = 0
+    refused: int = 0
+    _waiting: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
+    _running: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
+    _down_until: float = float("-inf")
+    _poll_call: Any = None
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait or run here."""
+        return len(self._waiting) + len(self._running)
+
+    def submit(
+        self,
+        call: frames.Call,
+        on_answer: AnswerFunction,
+        on_chunk: ChunkFunction,
+    ) -> KeptCall:
+        """Takes a call; its end is reported by `on_answer`, maybe at once."""
+        now = self.reactor.seconds()
+        ticket = backlogs.Ticket(
+            call.request_id,
+            call.work_class,
+            call.priority,
+            now + call.objective_ms / 1000,
+            now + call.left_ms / 1000,
+        )
+        kept = KeptCall(call, ticket, on_answer, on_chunk)
+        reason = self._find_refusal(call, now)
+        if reason:
+            self._refuse(kept, reason, 0.0)
+            return kept
+        result = self.backlog.offer(ticket, call.max_wait_ms / 1000, now)
+        if isinstance(result, backlogs.Refused):
+            self._refuse(kept, result.reason.value, result.retry_after_s)
+        elif isinstance(result, backlogs.Waiting):
+            self._waiting[ticket] = kept
+            self._set_poll()
+        else:
+            self._start(kept, now)
+        return kept
+
+    def cancel(self, kept: KeptCall) -> None:
+        """The caller is gone or answered; a run that may repeat is stopped."""
+        if kept.is_over:
+            return
+        kept.is_over = True
+        if self.backlog.withdraw(kept.ticket):
+            del self._waiting[kept.ticket]
+            return
+        if kept.call.is_idempotent:
+            self._stop_run(kept)
+
+    def refresh_target(self) -> None:
+        """Takes over what the target said of itself."""
+        now = self.reactor.seconds()
+        usable = self.target.get_usable(now)
+        if usable is None:
+            self.drop_waiting("target-leaving")
+            return
+        self.backlog.slots = usable.slots
+        self._fill(now)
+
+    def drop_waiting(self, reason: str) -> None:
+        """Refuses every waiting call; they may run elsewhere."""
+        for ticket in self.backlog.clear():
+            self._refuse(self._waiting.pop(ticket), reason, 0.0)
+
+    def close(self) -> None:
+        """Stops timers and connections."""
+        if self._poll_call is not None and self._poll_call.active():
+            self._poll_call.cancel()
+        for kept in self._running.values():
+            if kept.guard is not None and kept.guard.active():
+                kept.guard.cancel()
+        self.pool.close()
+
+    def _find_refusal(self, call: frames.Call, now: float) -> str:
+        if self.refusal:
+            return self.refusal
+        if now < self._down_until:
+            return "target-down"
+        usable = self.target.get_usable(now)
+        if usable is None:
+            return "no-target"
+        if usable.service != call.service:
+            return "other-service"
+        return ""
+
+    def _start(self, kept: KeptCall, now: float) -> None:
+        usable = self.target.get_usable(now)
+        if usable is None or self.refusal:
+            self.backlog.release(kept.ticket, False, now)
+            self._refuse(kept, "target-leaving", 0.0)
+            return
+        self.started += 1
+        self._running[kept.ticket] = kept
+        kept.target_id = usable.target_id
+        limit_s = max(0.0, kept.ticket.deadline - now) + RUN_GRACE_S
+        kept.guard = self.reactor.callLater(limit_s, self._end_overdue, kept)
+        request = self._make_request(kept, usable, now)
+        kept.connection = self.pool.send(
+            request,
+            exchange.ExchangeEvents(
+                lambda answer: self._receive_answer(kept, answer),
+                lambda data, is_last: self._receive_data(kept, data, is_last),
+                lambda reason, is_sent: self._receive_failure(
+                    kept, reason, is_sent
+                ),
+            ),
+        )
+
+    def _make_request(
+        self, kept: KeptCall, target: directory.TargetRecord, now: float
+    ) -> exchange.TargetRequest:
+        call = kept.call
+        marks = self.pool.dialect
+        left_ms = max(1, int((kept.ticket.deadline - now) * 1000))
+        lines = [f"{call.method} {call.path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in call.headers]
+        lines.append(f"{marks.deadline}: {left_ms}")
+        lines.append(f"{marks.instance}: {target.target_id}")
+        if call.body or call.method in ("POST", "PUT", "PATCH"):
+            lines.append(f"Content-Length: {len(call.body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        return exchange.TargetRequest(
+            call.request_id,
+            head.encode("latin-1", "replace") + call.body,
+            call.method == "HEAD",
+            not call.is_idempotent,
+        )
+
+    def _receive_answer(
+        self, kept: KeptCall, answer: exchange.TargetAnswer
+    ) -> None:
+        end, reason = judge_answer(answer, self.pool.dialect)
+        if answer.more and end is not AttemptEnd.ANSWERED:
+            self._stop_run(kept)
+            self._report(kept, end, reason)
+            return
+        if answer.more:
+            kept.has_begun = True
+            self._send_answer(kept, end, reason, answer, 0.0)
+            return
+        now = self.reactor.seconds()
+        assert kept.ticket.started_at is not None
+        measures = end is AttemptEnd.ANSWERED
+        spent = now - kept.ticket.started_at if measures else 0.0
+        self._end_run(kept, measures)
+        if end is AttemptEnd.NOT_RUN:
+            self.events.log_request(
+                "keeper.shed",
+                id=kept.call.request_id,
+                target=kept.target_id,
+                status=answer.status,
+                running=len(self._running),
+                slots=self.backlog.slots,
+            )
+        self._send_answer(kept, end, reason, answer, spent)
+        self._fill(now)
+
+    def _receive_data(self, kept: KeptCall, data: bytes, is_last: bool) -> None:
+        if is_last:
+            self._end_run(kept, True)
+        if not kept.is_over:
+            kept.is_over = is_last
+            kept.on_chunk(frames.Chunk(kept.call.stream, data, is_last, False))
+        if is_last:
+            self._fill(self.reactor.seconds())
+
+    def _receive_failure(
+        self, kept: KeptCall, reason: str, is_sent: bool
+    ) -> None:
+        now = self.reactor.seconds()
+        self._end_run(kept, False)
+        self.events.log_request(
+            "keeper.target-lost",
+            id=kept.call.request_id,
+            target=kept.target_id,
+            reason=reason,
+            sent=is_sent,
+        )
+        if not is_sent:
+            self._down_until = now + DOWN_S
+            self.drop_waiting("target-down")
+        if kept.has_begun:
+            if not kept.is_over:
+                kept.is_over = True
+                kept.on_chunk(frames.Chunk(kept.call.stream, b"", True, True))
+        else:
+            end = AttemptEnd.BROKEN if is_sent else AttemptEnd.NOT_RUN
+            self._report(kept, end, reason)
+        self._fill(now)
+
+    def _end_overdue(self, kept: KeptCall) -> None:
+        """Frees the slot of a run that nobody waits for any more."""
+        kept.is_over = True
+        self._stop_run(kept)
+
+    def _stop_run(self, kept: KeptCall) -> None:
+        if kept.ticket not in self._running:
+            return
+        if kept.connection is not None:
+            kept.connection.drop()
+        self._end_run(kept, False)
+        self._fill(self.reactor.seconds())
+
+    def _end_run(self, kept: KeptCall, measures: bool) -> None:
+        if self._running.pop(kept.ticket, None) is None:
+            return
+        if kept.guard is not None and kept.guard.active():
+            kept.guard.cancel()
+        self.backlog.release(kept.ticket, measures, self.reactor.seconds())
+
+    def _fill(self, now: float) -> None:
+        if now < self._down_until:
+            return
+        ticket = self.backlog.start_next(now)
+        while ticket is not None:
+            self._start(self._waiting.pop(ticket), now)
+            ticket = self.backlog.start_next(now)
+
+    def _refuse(
+        self, kept: KeptCall, reason: str, retry_after_s: float
+    ) -> None:
+        self.refused += 1
+        self._report(kept, AttemptEnd.NOT_RUN, reason, retry_after_s)
+
+    def _report(
+        self,
+        kept: KeptCall,
+        end: AttemptEnd,
+        reason: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        if kept.is_over:
+            return
+        kept.is_over = True
+        kept.on_answer(
+            frames.Answer(
+                kept.call.stream,
+                end,
+                reason,
+                busy=self.backlog.busy,
+                retry_after_ms=int(retry_after_s * 1000),
+                target_id=kept.target_id,
+            )
+        )
+
+    def _send_answer(
+        self,
+        kept: KeptCall,
+        end: AttemptEnd,
+        reason: str,
+        answer: exchange.TargetAnswer,
+        spent_s: float,
+    ) -> None:
+        if kept.is_over:
+            return
+        kept.is_over = not answer.more
+        kept.on_answer(
+            frames.Answer(
+                kept.call.stream,
+                end,
+                reason,
+                answer.status,
+                answer.headers,
+                answer.body,
+                -1 if answer.length is None else answer.length,
+                answer.more,
+                self.backlog.busy,
+                int(spent_s * 1_000_000),
+                0,
+                kept.target_id,
+            )
+        )
+
+    def _set_poll(self) -> None:
+        if self._poll_call is None or not self._poll_call.active():
+            self._poll_call = self.reactor.callLater(POLL_S, self._poll)
+
+    def _poll(self) -> None:
+        now = self.reactor.seconds()
+        for ticket in self.backlog.drop_late(now):
+            self._refuse(self._waiting.pop(ticket), "too-late", 0.0)
+        if self.target.get_usable(now) is None:
+            self.drop_waiting("target-leaving")
+        if self._waiting:
+            self._set_poll()
+
+
+def judge_answer(
+    answer: exchange.TargetAnswer, marks: exchange.TargetDialect
+) -> tuple[AttemptEnd, str]:
+    """Returns what a target's answer says about its request."""
+    names = {name.lower() for name, _value in answer.headers}
+    if marks.not_run.lower() in names:
+        return AttemptEnd.NOT_RUN, "target-refused"
+    if answer.status == marks.misdirected_status:
+        return AttemptEnd.NOT_RUN, "other-target"
+    if marks.signature.lower() not in names:
+        return AttemptEnd.BROKEN, f"unsigned-{answer.status}"
+    if answer.status in PROMISE_STATUSES:
+        # Passed on as it is, it would tell the caller that nothing has run.
+        return AttemptEnd.BROKEN, f"target-{answer.status}"
+    if answer.status >= 500:
+        return AttemptEnd.FAILED, f"target-{answer.status}"
+    return AttemptEnd.ANSWERED, "ok"
+
+
+def strip_framing(headers: frames.Headers) -> list[http.Header]:
+    """Returns the headers of a target's answer for its caller."""
+    return [
+        http.Header(name, value)
+        for name, value in headers
+        if name.lower() not in http.FRAMING_HEADERS
+    ]
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -0,0 +1,409 @@
+"""The node beside a target: builds its parts, starts and stops them."""
+
+from collections.abc import Callable
+import json
+import os
+import random
+import time
+from typing import Any
+from typing import Final
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_mesh import announcements
+from filbertlift_mesh import configuration
+from filbertlift_mesh import directory
+from filbertlift_mesh import placement
+from filbertlift_mesh import repeats
+from filbertlift_sidecar import control
+from filbertlift_sidecar import entry
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import exchange
+from filbertlift_sidecar import gossip
+from filbertlift_sidecar import inbound
+from filbertlift_sidecar import keeper
+from filbertlift_sidecar import metrics
+from filbertlift_sidecar import peerlink
+from filbertlift_sidecar import registry
+from filbertlift_sidecar import remote
+from filbertlift_sidecar import settings as node_settings
+from filbertlift_sidecar import versions
+from filbertlift_store import interface
+from filbertlift_transport import http
+from filbertlift_transport import reply as replies
+from filbertlift_transport import server
+
+# After SIGTERM callers are told to go elsewhere by two readiness checks, one a
+# second; until then their calls are served.
+LEAVE_S: Final = 2.6
+# Work under way may last until this long before the grace ends, in seconds.
+LAST_S: Final = 0.4
+# A keeper that leaves still takes calls of peers that have not heard of it.
+PEER_LEAVE_S: Final = 0.5
+DRAIN_CHECK_S: Final = 0.05
+HOUSEKEEPING_S: Final = 1.0
+# The platform and the target send no large requests.
+SMALL_LIMITS: Final = http.Limits(body_bytes=65_536, connections=100)
+# Connections of callers at once; descriptors of a host are limited.
+MAX_CALLERS: Final = 2_500
+
+
+@attrs.frozen
+class Adapter:
+    """What the platform's own words are translated by.
+
+    Attributes:
+        dialect: names of the headers of calls.
+        parse_report: reads what the target reports.
+        decode_configuration: reads a configuration from the store.
+        configuration_key: key of the newest configuration.
+        is_ready_path: whether a request asks for readiness.
+    """
+
+    dialect: exchange.TargetDialect
+    parse_report: Callable[[http.Request], control.Parsed | None]
+    decode_configuration: versions.DecodeFunction
+    configuration_key: str
+    is_ready_path: Callable[[str], bool]
+
+
+class Node:
+    """One node. `start` opens its ports, `stop` leaves in good order.
+
+    Attributes:
+        settings: what it was started with.
+        stopped: fires when the node may end.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: node_settings.NodeSettings,
+        adapter: Adapter,
+        store: interface.Store,
+        log: eventlog.EventLog,
+        meters: metrics.NodeMetrics,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.stopped: defer.Deferred[None] = defer.Deferred()
+        self._reactor = reactor
+        self._adapter = adapter
+        self._log = log
+        self._meters = meters
+        self._is_stopping = False
+        self._seen_changes = -1
+        self._refreshed_at = float("-inf")
+        self._target = announcements.LocalTarget(
+            str(settings.target), settings.beat_interval_s
+        )
+        own = directory.HostRecord(
+            settings.peers,
+            int(time.time() * 1000),
+            0,
+            settings.place,
+            False,
+            None,
+            False,
+        )
+        self._table = directory.Directory(own)
+        self._remote = remote.RemoteCalls(reactor, log)
+        pool = exchange.TargetPool(reactor, settings.target, adapter.dialect)
+        self._pool = pool
+        self._keeper = keeper.Keeper(reactor, self._target, pool, log)
+        self._gossip = gossip.Gossip(
+            reactor,
+            self._table,
+            gossip.GossipEvents(self._note_records, self._learn_version),
+            log,
+            rng,
+            lambda: self._versions.version,
+        )
+        self._versions = versions.Versions(
+            reactor,
+            store,
+            adapter.configuration_key,
+            adapter.decode_configuration,
+            self._table,
+            self._remote,
+            versions.VersionEvents(self._put_in_force, self._note_store),
+            log,
+            rng,
+        )
+        self._remote.on_message = self._versions.receive
+        self._registry = registry.Registry(
+            reactor,
+            store,
+            self._table,
+            self._gossip.greet,
+            self._restore_departure,
+            log,
+            rng,
+        )
+        self._inbound = inbound.InboundCalls(
+            self._keeper, self._versions.receive
+        )
+        self._listener = peerlink.LinkListener(
+            reactor,
+            settings.peers,
+            peerlink.LinkEvents(self._inbound.receive, self._inbound.lose_link),
+        )
+        self.entry = self._make_entry(rng)
+        self._control = control.Control(
+            reactor,
+            adapter.parse_report,
+            self._target,
+            control.ControlEvents(self._note_target, self._save_departure),
+            log,
+            meters,
+            _is_draining,
+        )
+        self._servers: list[server.HttpServer] = []
+        self._callers: server.HttpServer | None = None
+        self._loop = task.LoopingCall(self._keep_house)
+        self._loop.clock = reactor
+
+    def start(self) -> None:
+        """Opens the ports; raises CannotListenError."""
+        settings = self.settings
+        self._log.log("node.start", pid=os.getpid(), **settings.describe())
+        self._listen(settings.control, self._control.handle)
+        self._listen(settings.ready, self._answer_ready)
+        self._listen(settings.metrics, self._answer_metrics)
+        limits = _make_limits(configuration.ClientLimits())
+        self._callers = server.HttpServer.listen(
+            self._reactor, settings.outbound, self.entry.handle, limits
+        )
+        self._servers.append(self._callers)
+        self._listener.start()
+        self._gossip.start()
+        self._registry.start()
+        self._versions.start()
+        self._loop.start(HOUSEKEEPING_S, now=False)
+
+    def stop(self) -> None:
+        """Leaves: callers and peers go elsewhere, work under way ends."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        now = self._reactor.seconds()
+        self._log.log(
+            "node.leaving",
+            calls=len(self.entry.flows),
+            kept=self._keeper.in_flight,
+        )
+        self.entry.is_leaving = True
+        for flow in self.entry.flows:
+            flow.reply.close_after()
+        self._update_own()
+        self._reactor.callLater(PEER_LEAVE_S, self._refuse_peers)
+        self._reactor.callLater(
+            LEAVE_S, self._check_drain, now + self.settings.grace_s - LAST_S
+        )
+
+    def reload(self, settings: node_settings.NodeSettings) -> None:
+        """Takes over the settings that may change while a node runs."""
+        changed = sorted(
+            name
+            for name, text in settings.describe().items()
+            if text != self.settings.describe()[name]
+        )
+        self._log.log("node.reload", changed=",".join(changed))
+        self.settings = attrs.evolve(
+            self.settings,
+            grace_s=settings.grace_s,
+            beat_interval_s=settings.beat_interval_s,
+        )
+        self._target.beat_interval_s = settings.beat_interval_s
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the node, for operators."""
+        now = self._reactor.seconds()
+        return {
+            "settings": dict(self.settings.describe()),
+            "version": self._versions.version,
+            "is_leaving": self._is_stopping,
+            "target": str(self._target.current),
+            "calls": len(self.entry.flows),
+            "running": len(self._keeper.backlog.running),
+            "waiting": len(self._keeper.backlog.waiting),
+            "slots": self._keeper.backlog.slots,
+            "hosts": [str(record) for record in self._table.list_live(now)],
+            "suppressed_lines": self._log.total_suppressed,
+        }
+
+    def _make_entry(self, rng: random.Random) -> entry.Entry:
+        settings = self.settings
+        policy = repeats.RepeatPolicy(
+            settings.repeat_ratio,
+            settings.repeat_slack,
+            settings.repeat_window_s,
+        )
+        return entry.Entry(
+            self._reactor,
+            settings.peers,
+            settings.service,
+            self._adapter.dialect,
+            placement.Placement(settings.place, settings.peers, rng),
+            repeats.RepeatBudget(policy),
+            self._keeper,
+            self._remote,
+            self._log,
+            self._meters,
+            self._refresh_placement,
+        )
+
+    def _listen(self, address: model.Address, handle: server.Handler) -> None:
+        self._servers.append(
+            server.HttpServer.listen(
+                self._reactor, address, handle, SMALL_LIMITS
+            )
+        )
+
+    # Events of the parts.
+
+    def _put_in_force(self, version: configuration.Configuration) -> None:
+        self.entry.put_in_force(version)
+        self._target.services = version.services
+        self._meters.version.set(version.version)
+        if self._callers is not None:
+            self._callers.limits = _make_limits(version.limits)
+        self._gossip.tell_version()
+
+    def _learn_version(self, peer: model.Address, version: int) -> None:
+        self._versions.learn(peer, version)
+
+    def _note_store(self, has_store: bool) -> None:
+        own = self._table.own
+        if own.has_store == has_store:
+            return
+        self._log.log("node.store", answers=has_store)
+        if self._table.update_own(attrs.evolve(own, has_store=has_store)):
+            self._gossip.announce()
+
+    def _note_records(self) -> None:
+        self._refresh_placement()
+
+    def _note_target(self) -> None:
+        self._update_own()
+        self._keeper.refresh_target()
+
+    def _update_own(self) -> None:
+        record = attrs.evolve(
+            self._table.own,
+            target=self._target.current,
+            is_leaving=self._is_stopping,
+        )
+        if self._table.update_own(record):
+            self._gossip.announce()
+            self._refresh_placement()
+
+    def _refresh_placement(self) -> None:
+        now = self._reactor.seconds()
+        is_old = now - self._refreshed_at > HOUSEKEEPING_S
+        if self._table.changes == self._seen_changes and not is_old:
+            return
+        self._seen_changes = self._table.changes
+        self._refreshed_at = now
+        live = self._table.list_live(now)
+        self.entry.placement.update([*live, self._table.own])
+        self.entry.budget.set_hosts(len(live) + 1)
+
+    def _save_departure(self) -> "defer.Deferred[Any]":
+        target = self._target.current
+        assert target is not None
+        value = json.dumps(
+            [target.target_id, target.born_ms, int(target.state)]
+        )
+        return self._registry.save_departure(value.encode())
+
+    def _restore_departure(self, value: bytes) -> None:
+        try:
+            target_id, born_ms, state = json.loads(value)
+            departed = directory.TargetRecord(
+                str(target_id),
+                int(born_ms),
+                "",
+                0,
+                directory.TargetState(state),
+            )
+        except (ValueError, TypeError) as error:
+            self._log.log("node.departure-malformed", error=error)
+            return
+        if self._target.restore(departed):
+            self._log.log("node.departure-restored", target=target_id)
+            self._note_target()
+
+    def _keep_house(self) -> None:
+        self._pool.drop_idle()
+        self._remote.close_idle()
+        live = self._table.list_live(self._reactor.seconds())
+        self._meters.hosts.set(len(live) + 1)
+
+    # Pages.
+
+    def _answer_ready(
+        self, request: http.Request, reply: replies.Reply
+    ) -> None:
+        if not self._adapter.is_ready_path(request.path):
+            reply.send(404, (), b"")
+            return
+        is_ready = self._versions.current is not None and not self._is_stopping
+        reply.send(200 if is_ready else 503, (), b"")
+
+    def _answer_metrics(
+        self, request: http.Request, reply: replies.Reply
+    ) -> None:
+        if request.path.startswith("/dump"):
+            body = json.dumps(self.dump(), indent=1).encode()
+            kind = "application/json"
+        else:
+            body, kind = self._meters.render(), "text/plain; version=0.0.4"
+        reply.send(200, (http.Header("Content-Type", kind),), body)
+
+    # Leaving.
+
+    def _refuse_peers(self) -> None:
+        self._inbound.refusal = "leaving"
+
+    def _check_drain(self, limit: float) -> None:
+        is_idle = not self.entry.flows and not self._keeper.in_flight
+        if is_idle or self._reactor.seconds() >= limit:
+            self._close()
+            return
+        self._reactor.callLater(DRAIN_CHECK_S, self._check_drain, limit)
+
+    def _close(self) -> None:
+        self._log.log(
+            "node.stop",
+            cut_calls=len(self.entry.flows),
+            cut_runs=self._keeper.in_flight,
+        )
+        self._loop.stop()
+        self._versions.close()
+        self._registry.close()
+        self._gossip.close()
+        for part in self._servers:
+            part.close()
+        self._keeper.close()
+        self._remote.close()
+        self._listener.close()
+        self.stopped.callback(None)
+
+
+def _is_draining(target: announcements.LocalTarget) -> bool:
+    held = target.current
+    return held is not None and held.state is not directory.TargetState.READY
+
+
+def _make_limits(limits: configuration.ClientLimits) -> http.Limits:
+    return http.Limits(
+        head_bytes=limits.head_bytes,
+        body_bytes=limits.body_bytes,
+        connections=MAX_CALLERS,
+        head_s=limits.head_s,
+        idle_s=limits.idle_s,
+    )
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -0,0 +1,237 @@
+"""Links between nodes: many calls over one TCP connection.
+
+An open connection can go silent for good, so a link with calls outstanding is
+probed, and closed when nothing is heard on it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import attrs
+from twisted.internet import protocol
+from twisted.python import failure
+
+from filbertlift_core import model
+from filbertlift_sidecar import exceptions
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import sockets
+from filbertlift_transport import outputs
+
+CONNECT_TIMEOUT_S: Final = 0.4
+# A link with calls outstanding that is silent for this long is probed, and
+# given up after the limit, in seconds. The longest way there and back is 40 ms;
+# the rest is for a busy host.
+PROBE_S: Final = 0.3
+SILENCE_LIMIT_S: Final = 1.0
+# Links without a call are closed after this time, in seconds.
+IDLE_LIMIT_S: Final = 20.0
+# A peer that does not read is given up when so much is unsent.
+MAX_UNSENT_BYTES: Final = 96 * 1024 * 1024
+
+
+@attrs.frozen
+class LinkEvents:
+    """Functions that a link calls.
+
+    Attributes:
+        on_message: a message other than pings and pongs arrived.
+        on_down: the link is closed, and why; called once.
+    """
+
+    on_message: Callable[["PeerLink", frames.Message], None]
+    on_down: Callable[["PeerLink", str], None]
+
+
+class PeerLink(protocol.Protocol):
+    """One connection to a peer.
+
+    Attributes:
+        address: address of the peer that was dialled, None when it dialled.
+        is_up: whether the connection is open.
+        is_closed: whether it was closed or lost.
+        outstanding: calls that wait for an answer on it.
+        last_used: when the last call was sent, in seconds.
+    """
+
+    transport: Any
+
+    def __init__(
+        self, reactor: Any, events: LinkEvents, address: model.Address | None
+    ) -> None:
+        self.address = address
+        self.is_up = False
+        self.is_closed = False
+        self.outstanding = 0
+        self.last_used = reactor.seconds()
+        self._reactor = reactor
+        self._events = events
+        self._reader = frames.FrameReader()
+        self._output: outputs.JoiningOutput | None = None
+        self._unsent: list[bytes] = []
+        self._heard_at = reactor.seconds()
+        self._connector: Any = None
+        self._probe_call: Any = None
+
+    def connect(self) -> None:
+        """Dials the peer; messages sent meanwhile are kept."""
+        assert self.address is not None
+        self._connector = self._reactor.connectTCP(
+            self.address.host,
+            self.address.port,
+            _Factory(self),
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+    def send(self, message: frames.Message) -> None:
+        """Sends a message; the link's end is reported by its events."""
+        if self.is_closed:
+            return
+        data = frames.encode_message(message)
+        if self._output is None:
+            self._unsent.append(data)
+        elif not self._output.write(data):
+            self.close("peer does not read")
+
+    def note_call(self) -> None:
+        """Counts a call that waits for an answer."""
+        now = self._reactor.seconds()
+        self.last_used = now
+        self.outstanding += 1
+        if self.is_up and self._probe_call is None:
+            self._heard_at = now
+            self._set_probe()
+
+    def note_end(self) -> None:
+        """Counts the end of a call."""
+        self.outstanding -= 1
+
+    def close(self, reason: str) -> None:
+        """Closes the link."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.is_up = False
+        if self._probe_call is not None and self._probe_call.active():
+            self._probe_call.cancel()
+        if self.transport is not None:
+            self.transport.abortConnection()
+        elif self._connector is not None:
+            self._connector.disconnect()
+        self._events.on_down(self, reason)
+
+    # Twisted's protocol interface.
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Sends what was kept."""
+        if self.is_closed:
+            self.transport.abortConnection()
+            return
+        sockets.set_liveness(self.transport)
+        self.is_up = True
+        self._heard_at = self._reactor.seconds()
+        self._output = outputs.JoiningOutput(
+            self._reactor, self.transport, MAX_UNSENT_BYTES
+        )
+        for data in self._unsent:
+            self._output.write(data)
+        self._unsent.clear()
+        if self.outstanding:
+            self._set_probe()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles received bytes."""
+        self._heard_at = self._reactor.seconds()
+        try:
+            found = self._reader.feed(data)
+        except exceptions.FrameError as error:
+            self.close(str(error))
+            return
+        for message in found:
+            if self.is_closed:
+                return
+            if isinstance(message, frames.Ping):
+                self.send(frames.Pong(message.number))
+            elif not isinstance(message, frames.Pong):
+                self._events.on_message(self, message)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Takes the link down."""
+        self.close(f"lost: {reason.getErrorMessage()}")
+
+    def _set_probe(self) -> None:
+        self._probe_call = self._reactor.callLater(PROBE_S, self._probe)
+
+    def _probe(self) -> None:
+        self._probe_call = None
+        if self.is_closed or not self.outstanding:
+            return
+        quiet = self._reactor.seconds() - self._heard_at
+        if quiet >= SILENCE_LIMIT_S:
+            self.close(f"silent for {quiet:.1f} s")
+            return
+        if quiet >= PROBE_S:
+            self.send(frames.Ping(0))
+        self._set_probe()
+
+
+class _Factory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, link: PeerLink) -> None:
+        self._link = link
+
+    def buildProtocol(self, _address: Any) -> PeerLink:  # noqa: N802
+        return self._link
+
+    def clientConnectionFailed(  # noqa: N802
+        self, _connector: Any, reason: failure.Failure
+    ) -> None:
+        self._link.close(f"connect-failed: {reason.getErrorMessage()}")
+
+
+class LinkListener:
+    """Accepts links of peers.
+
+    Attributes:
+        links: the accepted links that are open.
+    """
+
+    def __init__(
+        self, reactor: Any, address: model.Address, events: LinkEvents
+    ) -> None:
+        self.links: set[PeerLink] = set()
+        self._reactor = reactor
+        self._address = address
+        self._events = LinkEvents(events.on_message, self._take_down)
+        self._on_down = events.on_down
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Listens; raises CannotListenError."""
+        factory = protocol.Factory.forProtocol(self._accept)
+        factory.noisy = False
+        self._port = self._reactor.listenTCP(
+            self._address.port,
+            factory,
+            backlog=512,
+            interface=self._address.host,
+        )
+
+    def close(self) -> None:
+        """Stops accepting and closes the accepted links."""
+        if self._port is not None:
+            self._port.stopListening()
+        for link in list(self.links):
+            link.close("node stops")
+
+    def _accept(self) -> PeerLink:
+        link = PeerLink(self._reactor, self._events, None)
+        self.links.add(link)
+        return link
+
+    def _take_down(self, link: PeerLink, reason: str) -> None:
+        self.links.discard(link)
+        self._on_down(link, reason)
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -0,0 +1,139 @@
+"""This host's entry in the store, by which others find their first peer."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import Final
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_core import exceptions as core_exceptions
+from filbertlift_core import model
+from filbertlift_mesh import directory
+from filbertlift_sidecar import eventlog
+from filbertlift_store import exceptions as store_exceptions
+from filbertlift_store import interface
+
+PREFIX: Final = "filbertlift/hosts/"
+LEFT_PREFIX: Final = "filbertlift/left/"
+# Entries of hosts that are gone disappear after this time, in seconds. Live
+# hosts know each other by gossip, so the entry only serves first contacts.
+LEASE_S: Final = 600.0
+KEEP_S: Final = 200.0
+# The list is read again this often by a host that knows no peer, in seconds.
+ALONE_S: Final = 2.0
+FIRST_PAUSE_S: Final = 0.2
+MAX_PAUSE_S: Final = 2.0
+SPREAD: Final = 0.5
+
+
+@attrs.define(eq=False)
+class Registry:
+    """Registers this host and reads the list of the others.
+
+    Attributes:
+        is_listed: whether the list was read once.
+    """
+
+    reactor: Any
+    store: interface.Store
+    table: directory.Directory
+    greet: Callable[[model.Address], None]
+    restore: Callable[[bytes], None]
+    log: eventlog.EventLog
+    rng: random.Random
+    is_listed: bool = False
+    _lease: str = ""
+    _is_closed: bool = False
+    _loop: Any = None
+
+    def start(self) -> None:
+        """Registers, and keeps the entry alive."""
+        self._loop = defer.ensureDeferred(self._run())
+        self._loop.addErrback(self._log_fault)
+
+    def close(self) -> None:
+        """Stops; the entry ends with its lease."""
+        self._is_closed = True
+        if self._loop is not None:
+            self._loop.cancel()
+
+    def save_departure(self, value: bytes) -> "defer.Deferred[Any]":
+        """Keeps the target's departure for the next node on this host."""
+        key = LEFT_PREFIX + str(self.table.own.address)
+        if not self._lease:
+            return defer.fail(
+                store_exceptions.StoreUnavailable("not registered yet")
+            )
+        return self.store.put_leased(key, value, self._lease)
+
+    async def _run(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while not self._is_closed:
+            try:
+                await self._keep()
+                await self._list()
+            except store_exceptions.StoreError as error:
+                self.log.log_request("registry.failed", error=error)
+                pause_s = min(MAX_PAUSE_S, 2.0 * pause_s)
+                await self._pause(pause_s * (1.0 + SPREAD * self.rng.random()))
+                continue
+            pause_s = FIRST_PAUSE_S
+            await self._pause(self._get_interval())
+
+    async def _keep(self) -> None:
+        if self._lease:
+            try:
+                await self.store.keep_lease(self._lease)
+                return
+            except store_exceptions.LeaseLost:
+                self._lease = ""
+                self.log.log("registry.lease-lost")
+        lease = await self.store.grant_lease(LEASE_S)
+        key = PREFIX + str(self.table.own.address)
+        await self.store.put_leased(key, b"", lease)
+        self._lease = lease
+
+    async def _list(self) -> None:
+        """Greets the listed hosts that are not known yet.
+
+        The own entry was written before, so of two hosts that start together
+        at least one finds the other.
+        """
+        assert self.store.list_prefix is not None
+        is_first = not self.is_listed
+        keys = await self.store.list_prefix(PREFIX)
+        self.is_listed = True
+        for key in keys:
+            address = _read_address(key)
+            if address is None or address == self.table.own.address:
+                continue
+            if self.table.find_record(address) is None:
+                self.greet(address)
+        if is_first:
+            key = LEFT_PREFIX + str(self.table.own.address)
+            entry = await self.store.get(key)
+            if entry is not None:
+                self.restore(entry.value)
+        self.log.log("registry.listed", hosts=len(keys))
+
+    def _get_interval(self) -> float:
+        now = self.reactor.seconds()
+        return KEEP_S if self.table.list_live(now) else ALONE_S
+
+    async def _pause(self, delay_s: float) -> None:
+        await task.deferLater(self.reactor, delay_s, lambda: None)
+
+    def _log_fault(self, reason: Any) -> None:
+        if reason.check(defer.CancelledError) and self._is_closed:
+            return
+        self.log.log("registry.fault", error=reason.getErrorMessage())
+
+
+def _read_address(key: str) -> model.Address | None:
+    try:
+        return model.Address.parse(key.removeprefix(PREFIX))
+    except core_exceptions.ModelError:
+        return None
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -0,0 +1,150 @@
+"""Calls that this node sends to keepers beside other targets."""
+
+from typing import Any
+from typing import Final
+
+import attrs
+
+from filbertlift_core import model
+from filbertlift_mesh import outcomes
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import keeper
+from filbertlift_sidecar import peerlink
+
+# Large answers travel on links of their own, so that small ones do not wait
+# behind them on a narrow link.
+SMALL: Final = "small"
+BULK: Final = "bulk"
+
+Lane = tuple[model.Address, str]
+
+
+@attrs.define(eq=False)
+class RemoteCall:
+    """One call on a link."""
+
+    link: peerlink.PeerLink
+    stream: int
+    on_answer: keeper.AnswerFunction
+    on_chunk: keeper.ChunkFunction
+    has_begun: bool = False
+
+
+@attrs.define(eq=False)
+class RemoteCalls:
+    """Links dialled by this node and the calls on them."""
+
+    reactor: Any
+    events: eventlog.EventLog
+    on_message: Any = None
+    links: dict[Lane, peerlink.PeerLink] = attrs.field(factory=dict)
+    _calls: dict[int, RemoteCall] = attrs.field(factory=dict)
+    _last_stream: int = 0
+
+    def submit(
+        self,
+        address: model.Address,
+        lane: str,
+        call: frames.Call,
+        on_answer: keeper.AnswerFunction,
+        on_chunk: keeper.ChunkFunction,
+    ) -> RemoteCall:
+        """Sends a call; its end is reported, never before this returns."""
+        link = self.find_link(address, lane)
+        self._last_stream += 1
+        stream = self._last_stream
+        remote = RemoteCall(link, stream, on_answer, on_chunk)
+        self._calls[stream] = remote
+        link.note_call()
+        link.send(attrs.evolve(call, stream=stream))
+        return remote
+
+    def cancel(self, remote: RemoteCall) -> None:
+        """Withdraws a call; nothing more is reported."""
+        if self._calls.pop(remote.stream, None) is None:
+            return
+        remote.link.note_end()
+        remote.link.send(frames.Cancel(remote.stream))
+
+    def find_link(self, address: model.Address, lane: str) -> peerlink.PeerLink:
+        """Returns the link to a peer, dialled now if there is none."""
+        link = self.links.get((address, lane))
+        if link is not None and not link.is_closed:
+            return link
+        events = peerlink.LinkEvents(self._receive, self._take_down)
+        link = peerlink.PeerLink(self.reactor, events, address)
+        self.links[(address, lane)] = link
+        link.connect()
+        return link
+
+    def close_idle(self) -> None:
+        """Closes the links that carried no call for long."""
+        now = self.reactor.seconds()
+        for link in list(self.links.values()):
+            quiet = now - link.last_used
+            if not link.outstanding and quiet > peerlink.IDLE_LIMIT_S:
+                link.close("idle")
+
+    def close(self) -> None:
+        """Closes all links."""
+        for link in list(self.links.values()):
+            link.close("node stops")
+
+    def _receive(
+        self, link: peerlink.PeerLink, message: frames.Message
+    ) -> None:
+        if isinstance(message, frames.Answer):
+            self._receive_answer(message)
+        elif isinstance(message, frames.Chunk):
+            self._receive_chunk(message)
+        elif self.on_message is not None:
+            self.on_message(link, message)
+
+    def _receive_answer(self, answer: frames.Answer) -> None:
+        remote = self._calls.get(answer.stream)
+        if remote is None:
+            return
+        remote.has_begun = answer.more
+        if not answer.more:
+            self._forget(remote)
+        remote.on_answer(answer)
+
+    def _receive_chunk(self, chunk: frames.Chunk) -> None:
+        remote = self._calls.get(chunk.stream)
+        if remote is None:
+            return
+        if chunk.is_last:
+            self._forget(remote)
+        remote.on_chunk(chunk)
+
+    def _forget(self, remote: RemoteCall) -> None:
+        del self._calls[remote.stream]
+        remote.link.note_end()
+
+    def _take_down(self, link: peerlink.PeerLink, reason: str) -> None:
+        for lane, held in list(self.links.items()):
+            if held is link:
+                del self.links[lane]
+        lost = [item for item in self._calls.values() if item.link is link]
+        if reason != "idle":
+            self.events.log(
+                "link.down", peer=link.address, reason=reason, calls=len(lost)
+            )
+        # Bytes of a call may have left unless the link never came up.
+        was_open = link.transport is not None
+        end = (
+            outcomes.AttemptEnd.BROKEN
+            if was_open
+            else outcomes.AttemptEnd.NOT_RUN
+        )
+        for remote in lost:
+            del self._calls[remote.stream]
+            if remote.has_begun:
+                remote.on_chunk(
+                    frames.Chunk(remote.stream, b"", True, failed=True)
+                )
+            else:
+                remote.on_answer(
+                    frames.Answer(remote.stream, end, f"link-{reason}")
+                )
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -0,0 +1,234 @@
+"""Which configuration is in force here, and where a newer one comes from.
+
+In each region a few hosts watch the store; the others hear of a version from
+peers and fetch it from one in their region, so that the store's calls and the
+bytes between regions do not grow with the hosts.
+"""
+
+from collections.abc import Callable
+import hashlib
+import random
+from typing import Any
+from typing import Final
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_core import exceptions as core_exceptions
+from filbertlift_core import model
+from filbertlift_mesh import configuration
+from filbertlift_mesh import directory
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import peerlink
+from filbertlift_sidecar import remote as remotes
+from filbertlift_store import exceptions as store_exceptions
+from filbertlift_store import interface
+
+# Hosts of a region that watch the store; two, so that one may fail unnoticed.
+WATCHERS: Final = 2
+# A watch waits this long at the store, in seconds. An open connection may go
+# silent, so this bounds how long that stays unnoticed.
+WATCH_S: Final = 1.5
+# Changes that follow one another within this time are read together.
+COALESCE_S: Final = 0.4
+# Failed calls to the store are repeated after this, in seconds, doubling.
+FIRST_PAUSE_S: Final = 0.1
+MAX_PAUSE_S: Final = 1.0
+# A peer has this long to hand over a configuration before the store is asked.
+PEER_S: Final = 0.4
+# How often a host that does not watch looks whether it should, in seconds.
+RECHECK_S: Final = 0.2
+
+DecodeFunction = Callable[[bytes], configuration.Configuration]
+
+
+@attrs.frozen
+class VersionEvents:
+    """Functions that tell of a version.
+
+    Attributes:
+        on_version: a newer version is in force.
+        on_store: whether the store answers.
+    """
+
+    on_version: Callable[[configuration.Configuration], None]
+    on_store: Callable[[bool], None]
+
+
+@attrs.define(eq=False)
+class Versions:
+    """The configuration in force and its sources.
+
+    Attributes:
+        current: the version in force, None before the first.
+        value: its bytes, as the store holds them.
+    """
+
+    reactor: Any
+    store: interface.Store
+    key: str
+    decode: DecodeFunction
+    table: directory.Directory
+    remote: remotes.RemoteCalls
+    events: VersionEvents
+    log: eventlog.EventLog
+    rng: random.Random
+    current: configuration.Configuration | None = None
+    value: bytes = b""
+    _revision: int = 0
+    _known_version: int = -1
+    _rejected: bytes = b""
+    _is_closed: bool = False
+    _fetch_call: Any = None
+    _loop: Any = None
+
+    @property
+    def version(self) -> int:
+        """Number of the version in force, -1 before the first."""
+        return self.current.version if self.current is not None else -1
+
+    def start(self) -> None:
+        """Starts to watch."""
+        self._loop = defer.ensureDeferred(self._watch())
+        self._loop.addErrback(self._log_fault)
+
+    def close(self) -> None:
+        """Stops watching."""
+        self._is_closed = True
+        if self._fetch_call is not None and self._fetch_call.active():
+            self._fetch_call.cancel()
+        if self._loop is not None:
+            self._loop.cancel()
+
+    def learn(self, peer: model.Address, version: int) -> None:
+        """A peer has a newer version; fetches it from there or the store."""
+        if version <= max(self.version, self._known_version):
+            return
+        self._known_version = version
+        record = self.table.find_record(peer)
+        own_region = self.table.own.place.region
+        is_near = record is not None and record.place.region == own_region
+        if is_near:
+            self.remote.find_link(peer, remotes.BULK).send(
+                frames.ConfigurationRequest(self.version)
+            )
+        delay_s = PEER_S if is_near else 0.0
+        if self._fetch_call is None or not self._fetch_call.active():
+            self._fetch_call = self.reactor.callLater(
+                delay_s, self._fetch_from_store
+            )
+
+    def receive(self, link: peerlink.PeerLink, message: frames.Message) -> None:
+        """Takes a message of a peer about configurations."""
+        if isinstance(message, frames.ConfigurationRequest):
+            if self.version > message.after_version:
+                link.send(frames.ConfigurationReply(self.version, self.value))
+        elif isinstance(message, frames.ConfigurationReply):
+            self._take(message.value, "peer")
+
+    def _fetch_from_store(self) -> None:
+        if self._known_version <= self.version or self._is_closed:
+            return
+        found = self.store.get(self.key)
+        found.addCallbacks(self._take_entry, self._note_failed_fetch)
+
+    def _note_failed_fetch(self, reason: Any) -> None:
+        reason.trap(store_exceptions.StoreError)
+        # The next digest that names the version starts another try.
+        self._known_version = self.version
+        self.log.log_request(
+            "versions.fetch-failed", error=reason.getErrorMessage()
+        )
+
+    async def _watch(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while not self._is_closed:
+            if self.current is not None and not self._is_watcher():
+                await task.deferLater(self.reactor, RECHECK_S, _do_nothing)
+                continue
+            try:
+                entry = await self._read_next()
+            except store_exceptions.StoreError as error:
+                self.events.on_store(False)
+                self.log.log_request("versions.store-failed", error=error)
+                pause_s = min(MAX_PAUSE_S, 2.0 * pause_s)
+                delay_s = pause_s * (0.5 + self.rng.random())
+                await task.deferLater(self.reactor, delay_s, _do_nothing)
+                continue
+            pause_s = FIRST_PAUSE_S
+            self.events.on_store(True)
+            if self._take_entry(entry) or self.current is None:
+                await task.deferLater(self.reactor, COALESCE_S, _do_nothing)
+
+    async def _read_next(self) -> interface.Entry | None:
+        if self._revision == 0:
+            return await self.store.get(self.key)
+        return await self.store.watch(self.key, self._revision, WATCH_S)
+
+    def _is_watcher(self) -> bool:
+        """Returns whether this host ranks among the watchers of its region."""
+        own = self.table.own
+        if own.is_leaving:
+            return False
+        rivals = [
+            record.address
+            for record in self.table.list_live(self.reactor.seconds())
+            if record.place.region == own.place.region
+            and record.has_store
+            and not record.is_leaving
+        ]
+        rank = _rank(own.address)
+        better = sum(1 for address in rivals if _rank(address) > rank)
+        return better < WATCHERS
+
+    def _take_entry(self, entry: interface.Entry | None) -> bool:
+        if entry is None or entry.revision <= self._revision:
+            return False
+        self._revision = entry.revision
+        return self._take(entry.value, "store")
+
+    def _take(self, value: bytes, source: str) -> bool:
+        """Puts a newer, complete configuration in force."""
+        if value in (self.value, self._rejected):
+            return False
+        try:
+            found = self.decode(value)
+        except core_exceptions.FilbertliftError as error:
+            self._rejected = value
+            self.log.log(
+                "versions.rejected",
+                error=error,
+                source=source,
+                size=len(value),
+                in_force=self.version,
+            )
+            return False
+        if found.version <= self.version:
+            return False
+        self.log.log(
+            "versions.in-force",
+            version=found.version,
+            was=self.version,
+            source=source,
+            size=len(value),
+        )
+        self.current = found
+        self.value = value
+        self.events.on_version(found)
+        return True
+
+    def _log_fault(self, reason: Any) -> None:
+        if reason.check(defer.CancelledError) and self._is_closed:
+            return
+        self.log.log("versions.fault", error=reason.getErrorMessage())
+
+
+def _rank(address: model.Address) -> int:
+    digest = hashlib.blake2b(str(address).encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+def _do_nothing() -> None:
+    """Ends a pause."""
