Prefer the own data centre for downloads; tests of decisions and adapter

Change: the bytes of a call count as waiting time by distance. Tests of the decisions and of the adapter.

--- a/libs/mesh/src/filbertlift_mesh/placement.py
+++ b/libs/mesh/src/filbertlift_mesh/placement.py
@@ -36,9 +36,21 @@
     Distance.REGION: 0.004,
     Distance.ELSEWHERE: 0.045,
 }
-# What the bytes of a call on the paid link count for, in seconds of waiting.
-LINK_COST_S: Final = 0.1
-DOWNLOAD_LINK_COST_S: Final = 5.0
+# What the bytes of a call count for on the way there, in seconds of waiting.
+# Links between data centres are paid by volume, and far more those between
+# regions; an answer to a download is some fifty times larger than others.
+BYTES_S: Final = {
+    Distance.HOST: 0.0,
+    Distance.DATA_CENTRE: 0.0,
+    Distance.REGION: 0.01,
+    Distance.ELSEWHERE: 0.1,
+}
+DOWNLOAD_BYTES_S: Final = {
+    Distance.HOST: 0.0,
+    Distance.DATA_CENTRE: 0.0,
+    Distance.REGION: 0.3,
+    Distance.ELSEWHERE: 5.0,
+}
 # What a certain failure counts for, in seconds of waiting.
 FAILURE_COST_S: Final = 2.0
 FAILURE_GAIN: Final = 0.1
@@ -219,9 +231,8 @@
         cost = WAY_S[view.distance] + view.estimate_wait(now)
         cost += self._get_service_time(view, wish)
         cost += FAILURE_COST_S * view.get_failure(now)
-        if view.distance is Distance.ELSEWHERE:
-            cost += DOWNLOAD_LINK_COST_S if wish.is_download else LINK_COST_S
-        return cost
+        paid = DOWNLOAD_BYTES_S if wish.is_download else BYTES_S
+        return cost + paid[view.distance]
 
     def estimate_retry(self, service: str, now: float) -> float:
         """Returns when a target of a service should have room, in seconds."""
--- /dev/null
+++ b/libs/mesh/tests/test_announcements.py
@@ -0,0 +1,118 @@
+"""Tests of what a target says of itself."""
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies
+
+from filbertlift_mesh import announcements
+from filbertlift_mesh import directory
+
+READY = directory.TargetState.READY
+DRAINING = directory.TargetState.DRAINING
+LEFT = directory.TargetState.LEFT
+
+
+def make_beat(sequence, state=READY, born_ms=10, target_id="i-1", **changes):
+    target = directory.TargetRecord(target_id, born_ms, "a", 6, state)
+    beat = announcements.Announcement(target, "10.0.0.1:80", sequence)
+    return attrs.evolve(beat, **changes)
+
+
+def make_local(**changes):
+    return announcements.LocalTarget("10.0.0.1:80", 1.0, **changes)
+
+
+def test_a_heartbeat_makes_the_target_usable_until_it_stops():
+    local = make_local()
+    assert local.note_beat(make_beat(1), 0.0) == "news"
+    assert local.get_usable(3.9) is not None
+    assert local.get_usable(4.1) is None
+
+
+def test_a_late_heartbeat_does_not_take_a_drain_back():
+    """Guards against calls to a target after its drain was acknowledged."""
+    local = make_local()
+    local.note_beat(make_beat(1), 0.0)
+    local.note_beat(make_beat(3, DRAINING), 0.1)
+    assert local.note_beat(make_beat(2), 0.2) == "out-of-order"
+    assert local.note_beat(make_beat(4), 0.3) == "known"
+    assert local.get_usable(0.3) is None
+
+
+def test_a_heartbeat_of_an_earlier_start_is_left_out():
+    """Guards against a heartbeat that a partition delayed."""
+    local = make_local()
+    local.note_beat(make_beat(1, born_ms=20), 0.0)
+    late = make_beat(99, DRAINING, born_ms=10)
+    assert local.note_beat(late, 0.1) == "earlier-incarnation"
+    assert local.get_usable(0.1) is not None
+
+
+def test_the_same_id_may_start_again_with_a_lower_sequence():
+    local = make_local()
+    local.note_beat(make_beat(50, DRAINING, born_ms=10), 0.0)
+    assert local.note_beat(make_beat(1, born_ms=20), 0.1) == "news"
+    assert local.get_usable(0.1) is not None
+
+
+def test_a_heartbeat_from_elsewhere_names_no_target():
+    local = make_local(services={"a"})
+    foreign = make_beat(1, address="10.9.9.9:80")
+    assert local.note_beat(foreign, 0.0) == "other-address"
+    assert local.current is None
+
+
+def test_a_service_that_is_not_configured_names_no_target():
+    local = make_local(services={"b"})
+    assert local.note_beat(make_beat(1), 0.0) == "unknown-service"
+
+
+def test_a_departure_ends_new_calls():
+    local = make_local()
+    local.note_beat(make_beat(1), 0.0)
+    departure = announcements.Departure("i-1", 10)
+    assert local.note_departure(departure) == "news"
+    assert local.note_beat(make_beat(2), 0.1) == "known"
+    assert local.get_usable(0.1) is None
+
+
+def test_a_departure_of_an_earlier_start_is_left_out():
+    local = make_local()
+    local.note_beat(make_beat(1, born_ms=20), 0.0)
+    departure = announcements.Departure("i-1", 10)
+    assert local.note_departure(departure) == "earlier-incarnation"
+    assert local.get_usable(0.0) is not None
+
+
+def test_a_restarted_node_keeps_to_an_acknowledged_departure():
+    """Guards against a node that forgot what it acknowledged."""
+    local = make_local()
+    departed = directory.TargetRecord("i-1", 10, "", 0, LEFT)
+    local.restore(departed)
+    local.note_beat(make_beat(7), 0.0)
+    assert local.get_usable(0.0) is None
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 3),
+            strategies.integers(1, 9),
+            strategies.sampled_from((READY, DRAINING)),
+        )
+    )
+)
+def test_a_drain_of_the_newest_start_always_holds(beats):
+    """Whatever the order, a drained start is never used again."""
+    local = make_local()
+    drained = set()
+    for born_ms, sequence, state in beats:
+        held = local.current
+        result = local.note_beat(
+            make_beat(sequence, state, born_ms=born_ms), 0.0
+        )
+        if state is DRAINING and result in ("news", "known"):
+            drained.add(born_ms)
+        assert held is None or local.current.born_ms >= held.born_ms
+        usable = local.get_usable(0.0)
+        assert usable is None or usable.born_ms not in drained
--- /dev/null
+++ b/libs/mesh/tests/test_backlog.py
@@ -0,0 +1,171 @@
+"""Tests of the queue beside a target."""
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from filbertlift_mesh import backlog
+from filbertlift_mesh import exceptions
+
+
+def make_ticket(request_id="r", priority=1, objective_at=1.0, deadline=2.0):
+    return backlog.Ticket(
+        request_id, "safe-0.4-1", priority, objective_at, deadline
+    )
+
+
+def make_full(slots=1, service_s=0.1):
+    """Returns a backlog whose slots are taken at time 0."""
+    full = backlog.Backlog(slots=slots)
+    full.mean.add(service_s)
+    full.means["safe-0.4-1"] = backlog.Mean(service_s, 1)
+    for number in range(slots):
+        full.offer(make_ticket(f"first-{number}"), 1.0, 0.0)
+    return full
+
+
+def test_a_free_slot_starts_a_call():
+    free = backlog.Backlog(slots=1)
+    assert free.offer(make_ticket(), 1.0, 0.0) is backlog.STARTED
+
+
+def test_a_call_that_cannot_be_answered_in_time_is_refused_at_once():
+    """Guards against calls that wait for a deadline they cannot meet."""
+    full = make_full(service_s=0.5)
+    result = full.offer(make_ticket(deadline=0.6), 1.0, 0.0)
+    assert isinstance(result, backlog.Refused)
+    assert result.reason is backlog.Refusal.LATE
+    assert result.retry_after_s == pytest.approx(0.5)
+
+
+def test_a_sender_with_another_choice_is_not_kept_waiting():
+    full = make_full(service_s=0.5)
+    result = full.offer(make_ticket(deadline=9.0), 0.1, 0.0)
+    assert isinstance(result, backlog.Refused)
+    assert result.reason is backlog.Refusal.SLOW
+
+
+def test_more_urgent_calls_go_first():
+    """Guards against inner checks that wait behind counter work."""
+    full = make_full()
+    late = make_ticket("counter", priority=2)
+    check = make_ticket("check", priority=0)
+    full.offer(late, 9.0, 0.0)
+    full.offer(check, 9.0, 0.0)
+    full.release(next(iter(full.running)), True, 0.1)
+    assert full.start_next(0.1) is check
+
+
+def test_a_call_past_its_objective_goes_behind_one_that_can_meet_it():
+    """Guards against a full queue in which every answer comes late."""
+    full = make_full()
+    passed = make_ticket("passed", objective_at=0.05, deadline=9.0)
+    fresh = make_ticket("fresh", objective_at=0.9, deadline=9.0)
+    full.offer(passed, 9.0, 0.0)
+    full.offer(fresh, 9.0, 0.0)
+    full.release(next(iter(full.running)), True, 0.1)
+    assert full.start_next(0.1) is fresh
+
+
+def test_waiting_calls_that_became_hopeless_are_taken_out():
+    full = make_full()
+    hopeless = make_ticket("hopeless", deadline=0.3)
+    full.offer(hopeless, 9.0, 0.0)
+    assert full.drop_late(0.1) == []
+    assert full.drop_late(0.26) == [hopeless]
+    assert full.waiting == []
+
+
+def test_a_slot_cannot_be_given_back_twice():
+    full = make_full()
+    ticket = next(iter(full.running))
+    full.release(ticket, True, 0.1)
+    with pytest.raises(exceptions.BacklogError):
+        full.release(ticket, True, 0.2)
+
+
+@attrs.define(eq=False)
+class _Call:
+    ticket: backlog.Ticket
+    state: str
+
+
+class BacklogMachine(stateful.RuleBasedStateMachine):
+    """Every call is in exactly one state, and slots are never exceeded."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.backlog = backlog.Backlog(slots=2)
+        self.calls = []
+
+    @stateful.rule(
+        priority=strategies.integers(0, 2),
+        left_s=strategies.floats(0.0, 2.0),
+        max_wait_s=strategies.floats(0.0, 2.0),
+    )
+    def offer(self, priority, left_s, max_wait_s):
+        ticket = make_ticket(
+            str(len(self.calls)), priority, self.now + 0.4, self.now + left_s
+        )
+        result = self.backlog.offer(ticket, max_wait_s, self.now)
+        states = {
+            backlog.Started: "running",
+            backlog.Waiting: "waiting",
+            backlog.Refused: "over",
+        }
+        self.calls.append(_Call(ticket, states[type(result)]))
+
+    @stateful.rule(index=strategies.integers(0, 50))
+    def release(self, index):
+        running = [call for call in self.calls if call.state == "running"]
+        if not running:
+            return
+        call = running[index % len(running)]
+        self.backlog.release(call.ticket, True, self.now)
+        call.state = "over"
+
+    @stateful.rule()
+    def start_next(self):
+        started = self.backlog.start_next(self.now)
+        for call in self.calls:
+            if call.ticket is started:
+                assert call.state == "waiting"
+                call.state = "running"
+
+    @stateful.rule(index=strategies.integers(0, 50))
+    def withdraw(self, index):
+        if not self.calls:
+            return
+        call = self.calls[index % len(self.calls)]
+        assert self.backlog.withdraw(call.ticket) == (call.state == "waiting")
+        if call.state == "waiting":
+            call.state = "over"
+
+    @stateful.rule(spent_s=strategies.floats(0.0, 0.5))
+    def pass_time(self, spent_s):
+        self.now += spent_s
+        for ticket in self.backlog.drop_late(self.now):
+            for call in self.calls:
+                if call.ticket is ticket:
+                    assert call.state == "waiting"
+                    call.state = "over"
+
+    @stateful.rule(slots=strategies.integers(1, 3))
+    def set_slots(self, slots):
+        if len(self.backlog.running) <= slots:
+            self.backlog.slots = slots
+
+    @stateful.invariant()
+    def states_agree(self):
+        running = {c.ticket for c in self.calls if c.state == "running"}
+        waiting = {c.ticket for c in self.calls if c.state == "waiting"}
+        assert self.backlog.running == running
+        assert set(self.backlog.waiting) == waiting
+        assert len(running) <= self.backlog.slots
+
+
+TestBacklog = BacklogMachine.TestCase
+TestBacklog.settings = hypothesis.settings(deadline=None)
--- /dev/null
+++ b/libs/mesh/tests/test_outcomes.py
@@ -0,0 +1,86 @@
+"""Tests of what follows from the end of an attempt."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from filbertlift_mesh import configuration
+from filbertlift_mesh import outcomes
+from filbertlift_mesh import repeats
+
+AttemptEnd = outcomes.AttemptEnd
+Step = outcomes.Step
+
+
+def make_progress(kind="safe", sent=1, refusals=0, left_s=1.0):
+    route = configuration.Route(
+        "r",
+        "h",
+        "/",
+        configuration.CallKind(kind),
+        1.0,
+        0.4,
+        2,
+        1,
+        (configuration.Share("a", 1.0),),
+    )
+    return outcomes.CallProgress(route, sent, refusals, left_s)
+
+
+@pytest.mark.parametrize(
+    ("end", "progress", "step"),
+    [
+        (AttemptEnd.ANSWERED, make_progress(), Step.RELAY),
+        (AttemptEnd.NOT_RUN, make_progress("unsafe"), Step.TRY_ELSEWHERE),
+        (AttemptEnd.NOT_RUN, make_progress(refusals=4), Step.REFUSE),
+        (AttemptEnd.NOT_RUN, make_progress(left_s=0.0), Step.REFUSE),
+        (AttemptEnd.FAILED, make_progress(), Step.REPEAT),
+        (AttemptEnd.FAILED, make_progress(sent=2), Step.RELAY),
+        (AttemptEnd.FAILED, make_progress("unsafe"), Step.RELAY),
+        (AttemptEnd.BROKEN, make_progress("download"), Step.REPEAT),
+        (AttemptEnd.BROKEN, make_progress("unsafe"), Step.FAIL),
+    ],
+)
+def test_step(end, progress, step):
+    assert outcomes.decide_step(end, progress) is step
+
+
+@hypothesis.given(
+    strategies.sampled_from(AttemptEnd),
+    strategies.integers(0, 9),
+    strategies.integers(0, 9),
+    strategies.floats(0.0, 9.0),
+)
+def test_a_call_that_may_have_run_is_never_run_again_unless_idempotent(
+    end, sent, refusals, left_s
+):
+    """Guards against a booking that runs twice, or is denied though it ran."""
+    progress = make_progress("unsafe", sent, refusals, left_s)
+    step = outcomes.decide_step(end, progress)
+    if end is not AttemptEnd.NOT_RUN:
+        assert step in (Step.RELAY, Step.FAIL)
+    if step in (Step.REFUSE, Step.TRY_ELSEWHERE):
+        assert end is AttemptEnd.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "told_s"), [(0.0, 0.05), (0.333, 0.33), (60.0, 5.0)]
+)
+def test_a_refused_caller_is_told_when_there_should_be_room(wait_s, told_s):
+    assert outcomes.make_retry_after(wait_s) == told_s
+
+
+@pytest.mark.parametrize("hosts", [1, 12, 80])
+def test_all_hosts_together_keep_to_the_allowance(hosts):
+    """Guards against nodes that each use the whole budget."""
+    policy = repeats.RepeatPolicy(0.2, 60.0, 10.0)
+    budgets = [repeats.RepeatBudget(policy) for _ in range(hosts)]
+    taken = calls = 0
+    for budget in budgets:
+        budget.set_hosts(hosts)
+    for step in range(100):
+        for budget in budgets:
+            budget.note_call("a", step * 0.1)
+            calls += 1
+            taken += budget.take("a", step * 0.1)
+    assert taken <= 0.2 * calls + 60.0
--- /dev/null
+++ b/libs/mesh/tests/test_placement.py
@@ -0,0 +1,157 @@
+"""Tests of the choice of a target."""
+
+import random
+
+import pytest
+
+from filbertlift_core import model
+from filbertlift_mesh import directory
+from filbertlift_mesh import placement
+
+HERE = model.Place("north", "n-1")
+OWN = model.Address("10.0.0.1", 7000)
+
+
+def make_record(number, place=HERE, slots=6, **changes):
+    target = directory.TargetRecord(
+        f"i-{number}", 1, "a", slots, directory.TargetState.READY
+    )
+    fields = {
+        "address": model.Address(f"10.0.0.{number}", 7000),
+        "incarnation_ms": 1,
+        "revision": 1,
+        "place": place,
+        "is_leaving": False,
+        "target": target,
+        "has_store": True,
+    }
+    return directory.HostRecord(**{**fields, **changes})
+
+
+def make_placement(*records):
+    places = placement.Placement(HERE, OWN, random.Random(1))
+    places.update(records)
+    return places
+
+
+def make_wish(is_download=False, excluded=()):
+    return placement.Wish("a", "safe-0.4-1", is_download, excluded)
+
+
+def choose_number(places, wish=None, now=0.0):
+    view = places.choose(wish or make_wish(), now)
+    return int(view.address.host.rpartition(".")[2]) if view else None
+
+
+NEAR = make_record(2)
+REGION = make_record(3, model.Place("north", "n-2"))
+FAR = make_record(4, model.Place("south", "s-1"))
+
+
+def test_the_nearest_target_is_chosen_while_all_have_room():
+    assert choose_number(make_placement(FAR, REGION, NEAR)) == 2
+
+
+def test_work_leaves_a_full_data_centre():
+    """Guards against a queue beside one target while others are free."""
+    places = make_placement(FAR, REGION, NEAR)
+    near = places.views["a"][NEAR.address]
+    near.note_load(18, 0.0)
+    near.note_service("safe-0.4-1", 0.1)
+    assert choose_number(places) == 3
+
+
+def test_work_leaves_a_region_only_for_a_long_wait():
+    places = make_placement(FAR, NEAR)
+    near = places.views["a"][NEAR.address]
+    near.note_service("safe-0.4-1", 0.1)
+    near.note_load(9, 0.0)
+    assert choose_number(places) == 2
+    near.note_load(30, 0.0)
+    assert choose_number(places) == 4
+
+
+def test_downloads_stay_in_their_region():
+    """Guards against large answers on the paid link."""
+    places = make_placement(FAR, NEAR)
+    near = places.views["a"][NEAR.address]
+    near.note_service("safe-0.4-1", 0.1)
+    near.note_load(60, 0.0)
+    assert choose_number(places, make_wish(is_download=True)) == 2
+
+
+def test_a_slow_target_gets_less():
+    places = make_placement(NEAR, make_record(5))
+    slow, fast = places.views["a"].values()
+    slow.note_service("safe-0.4-1", 0.4)
+    fast.note_service("safe-0.4-1", 0.1)
+    assert choose_number(places) == 5
+
+
+def test_a_target_that_fails_gets_less_for_a_while():
+    places = make_placement(NEAR, make_record(5))
+    grey, good = places.views["a"].values()
+    for view in (grey, good):
+        view.note_service("safe-0.4-1", 0.1)
+    for _ in range(5):
+        grey.note_result(True, 0.0)
+    assert choose_number(places) == 5
+    assert grey.get_failure(20.0) < 0.01
+
+
+def test_a_new_target_gets_its_first_calls():
+    """Guards against a joined target that nobody sends to."""
+    places = make_placement(NEAR)
+    places.views["a"][NEAR.address].note_service("safe-0.4-1", 0.1)
+    places.update([NEAR, make_record(5)])
+    near = places.views["a"][NEAR.address]
+    near.note_load(8, 0.0)
+    assert choose_number(places) == 5
+
+
+def test_a_host_out_of_reach_is_left_out_for_longer_each_time():
+    places = make_placement(NEAR, REGION)
+    places.avoid(NEAR.address, 0.0)
+    assert choose_number(places, now=0.1) == 3
+    assert choose_number(places, now=0.6) == 2
+    places.avoid(NEAR.address, 0.6)
+    assert choose_number(places, now=1.5) == 3
+
+
+def test_the_only_target_is_tried_though_it_was_out_of_reach():
+    places = make_placement(NEAR)
+    places.avoid(NEAR.address, 0.0)
+    assert choose_number(places, now=0.1) == 2
+
+
+def test_tried_hosts_are_not_chosen_again():
+    places = make_placement(NEAR)
+    assert choose_number(places, make_wish(excluded={NEAR.address})) is None
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        make_record(2, is_leaving=True),
+        make_record(2, target=None),
+        make_record(
+            2,
+            target=directory.TargetRecord(
+                "i-2", 1, "a", 6, directory.TargetState.DRAINING
+            ),
+        ),
+    ],
+)
+def test_hosts_that_leave_are_not_chosen(record):
+    assert choose_number(make_placement(record)) is None
+
+
+def test_a_new_incarnation_starts_without_a_past():
+    """Guards against judging a target by the one before it."""
+    places = make_placement(NEAR)
+    places.views["a"][NEAR.address].note_service("safe-0.4-1", 9.0)
+    target = directory.TargetRecord(
+        "i-9", 2, "a", 6, directory.TargetState.READY
+    )
+    places.update([make_record(2, target=target, revision=2)])
+    assert places.views["a"][NEAR.address].services == {}
