Draw retries after a target's rejection from the shared budget

Change: a rejection by a target is an end of its own, repeated only within the budget; else the caller is refused and may return.

--- a/libs/mesh/src/filbertlift_mesh/outcomes.py
+++ b/libs/mesh/src/filbertlift_mesh/outcomes.py
@@ -24,7 +24,8 @@
     """How one attempt ended.
 
     ANSWERED: the target's complete answer is there.
-    NOT_RUN: the call has not run and never will.
+    NOT_RUN: the call has not run and never will; no target saw it.
+    SHED: the same, by the word of a target that it arrived at.
     FAILED: the target answered with a failure of its own.
     BROKEN: the target or its answer was lost; the call may have run.
     """
@@ -33,6 +34,7 @@
     NOT_RUN = 1
     FAILED = 2
     BROKEN = 3
+    SHED = 4
 
 
 class Step(enum.Enum):
@@ -65,8 +67,9 @@
 def decide_step(end: AttemptEnd, progress: CallProgress) -> Step:
     """Returns what follows from the end of an attempt.
 
-    `REPEAT` may be carried out only within the budget of repeats; without it
-    the attempt's own end is what the caller is told.
+    `REPEAT` may be carried out only within the budget of repeats, which counts
+    arrivals at targets; without it the attempt's own end is what the caller is
+    told.
     """
     if end is AttemptEnd.ANSWERED:
         return Step.RELAY
@@ -75,6 +78,9 @@
         if has_time and progress.refusals < MAX_REFUSALS:
             return Step.TRY_ELSEWHERE
         return Step.REFUSE
+    if end is AttemptEnd.SHED:
+        may_repeat = has_time and progress.refusals < MAX_REFUSALS
+        return Step.REPEAT if may_repeat else Step.REFUSE
     may_repeat = (
         progress.route.is_idempotent
         and has_time
@@ -87,6 +93,8 @@
 
 def decide_without_repeat(end: AttemptEnd) -> Step:
     """Returns what a caller is told when the call is not repeated."""
+    if end is AttemptEnd.SHED:
+        return Step.REFUSE
     return Step.RELAY if end is AttemptEnd.FAILED else Step.FAIL
 
 
--- a/libs/mesh/src/filbertlift_mesh/repeats.py
+++ b/libs/mesh/src/filbertlift_mesh/repeats.py
@@ -13,7 +13,7 @@
 
 # Part of the allowance that is used: calls under a repeated call are repeats
 # at their service too, and nodes do not know their number exactly.
-USED_PART: Final = 0.5
+USED_PART: Final = 0.7
 
 
 @attrs.frozen
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -215,7 +215,7 @@
             return
         self._attempts.remove(attempt)
         self._last_reason = answer.reason
-        if end is AttemptEnd.NOT_RUN:
+        if end in (AttemptEnd.NOT_RUN, AttemptEnd.SHED):
             self._note_refusal(attempt, answer)
         if self._attempts and end is not AttemptEnd.ANSWERED:
             # The other attempt may still be answered.
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -224,7 +224,7 @@
         measures = end is AttemptEnd.ANSWERED
         spent = now - kept.ticket.started_at if measures else 0.0
         self._end_run(kept, measures)
-        if end is AttemptEnd.NOT_RUN:
+        if end is AttemptEnd.SHED:
             self.events.log_request(
                 "keeper.shed",
                 id=kept.call.request_id,
@@ -372,9 +372,9 @@
     """Returns what a target's answer says about its request."""
     names = {name.lower() for name, _value in answer.headers}
     if marks.not_run.lower() in names:
-        return AttemptEnd.NOT_RUN, "target-refused"
+        return AttemptEnd.SHED, "target-refused"
     if answer.status == marks.misdirected_status:
-        return AttemptEnd.NOT_RUN, "other-target"
+        return AttemptEnd.SHED, "other-target"
     if marks.signature.lower() not in names:
         return AttemptEnd.BROKEN, f"unsigned-{answer.status}"
     if answer.status in PROMISE_STATUSES:
