Refuse waiting calls as soon as they are foreseen to be late

Change: the queue beside the target forecasts each waiting call's turn anew, corrected by how good earlier forecasts were, and refuses at once what will not end in time. A host's entries are listed by one call; watches last 4 s.

--- a/libs/mesh/src/filbertlift_mesh/backlog.py
+++ b/libs/mesh/src/filbertlift_mesh/backlog.py
@@ -20,6 +20,9 @@
 FIRST_SERVICE_S: Final = 0.1
 # Waiting calls at most; each is scanned when a slot becomes free.
 MAX_WAITING: Final = 500
+# Shorter forecasts say nothing about how good forecasts are, in seconds.
+LEAST_FORECAST_S: Final = 0.02
+MAX_WAIT_FACTOR: Final = 3.0
 # A caller that is told to come back any later may as well ask another time.
 MAX_RETRY_AFTER_S: Final = 5.0
 
@@ -50,6 +53,7 @@
         deadline: when the answer is of no use, in seconds.
         offered_at: when it arrived here, in seconds.
         started_at: when it was sent to the target; None while it waits.
+        forecast_s: wait that was expected when it arrived, in seconds.
     """
 
     request_id: str
@@ -59,6 +63,7 @@
     deadline: float
     offered_at: float = 0.0
     started_at: float | None = None
+    forecast_s: float = 0.0
 
 
 class Refusal(enum.Enum):
@@ -106,6 +111,8 @@
         waiting: calls without one, in order of arrival.
         mean: service time over all classes.
         means: service time by class.
+        wait_factor: how much longer calls waited than was forecast, because
+            more urgent ones came later; at least 1.
     """
 
     slots: int = 0
@@ -113,6 +120,7 @@
     waiting: list[Ticket] = attrs.field(factory=list)
     mean: Mean = attrs.field(factory=Mean)
     means: dict[str, Mean] = attrs.field(factory=dict)
+    wait_factor: Mean = attrs.field(factory=lambda: Mean(1.0, 1))
 
     @property
     def busy(self) -> int:
@@ -142,6 +150,7 @@
             return self._refuse(Refusal.LATE, wait_s)
         if wait_s > max_wait_s:
             return self._refuse(Refusal.SLOW, wait_s)
+        ticket.forecast_s = wait_s
         self.waiting.append(ticket)
         return WAITING
 
@@ -175,12 +184,22 @@
         return True
 
     def drop_late(self, now: float) -> list[Ticket]:
-        """Takes out the waiting calls that can no longer be served in time."""
-        late = [
-            ticket
-            for ticket in self.waiting
-            if now + self._get_least_time(ticket.work_class) >= ticket.deadline
-        ]
+        """Takes out the waiting calls that are not expected to end in time.
+
+        A call whose objective has passed goes behind those that can still
+        meet theirs. Under load it would be held until its deadline and then
+        refused all the same, so it is refused as soon as that is foreseen.
+        """
+        late: list[Ticket] = []
+        ahead_s = self._estimate_first() * self.slots
+        for ticket in sorted(self.waiting, key=lambda t: self._rank(t, now)):
+            service_s = self.get_service_time(ticket.work_class)
+            wait_s = ahead_s / max(1, self.slots) * self.wait_factor.value
+            # Half of the calls take less than the mean, or well below.
+            if now + wait_s + service_s / 2 >= ticket.deadline:
+                late.append(ticket)
+            else:
+                ahead_s += service_s
         for ticket in late:
             self.waiting.remove(ticket)
         return late
@@ -219,28 +238,34 @@
         free = self.slots - len(self.running)
         if free > 0 and not ahead_s:
             return 0.0
-        running_s = sum(
-            self._estimate_rest(other, now) for other in self.running
-        )
-        first_s = running_s / max(1, len(self.running)) / self.slots
-        return first_s + ahead_s / self.slots
+        wait_s = self._estimate_first() + ahead_s / self.slots
+        return wait_s * self.wait_factor.value
 
     def _rank(self, ticket: Ticket, now: float) -> tuple[int, bool, float]:
         latest = ticket.objective_at - self.get_service_time(ticket.work_class)
         return ticket.priority, latest < now, latest
 
-    def _estimate_rest(self, ticket: Ticket, now: float) -> float:
-        assert ticket.started_at is not None
-        spent = now - ticket.started_at
-        mean = self.get_service_time(ticket.work_class)
-        # Past its mean, a call has about half a mean left: times have a tail.
-        return max(mean - spent, mean / 2)
+    def _estimate_first(self) -> float:
+        """Returns the time until the first slot becomes free, in seconds.
 
-    def _get_least_time(self, work_class: str) -> float:
-        return self.get_service_time(work_class) / 2
+        Runs that started at different times end evenly spread over a mean.
+        """
+        if not self.slots or len(self.running) < self.slots:
+            return 0.0
+        running_s = sum(
+            self.get_service_time(ticket.work_class) for ticket in self.running
+        )
+        return running_s / len(self.running) / self.slots
 
     def _start(self, ticket: Ticket, now: float) -> Started:
         ticket.started_at = now
+        if ticket.forecast_s >= LEAST_FORECAST_S:
+            ratio = (now - ticket.offered_at) / ticket.forecast_s
+            self.wait_factor.add(
+                min(MAX_WAIT_FACTOR, ratio * self.wait_factor.value)
+            )
+            if self.wait_factor.value < 1.0:
+                self.wait_factor.value = 1.0
         self.running.add(ticket)
         return STARTED
 
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -16,8 +16,9 @@
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
 
-PREFIX: Final = "filbertlift/hosts/"
-LEFT_PREFIX: Final = "filbertlift/left/"
+ROOT: Final = "filbertlift/"
+PREFIX: Final = ROOT + "hosts/"
+LEFT_PREFIX: Final = ROOT + "left/"
 # Entries of hosts that are gone disappear after this time, in seconds. Live
 # hosts know each other by gossip, so the entry only serves first contacts.
 LEASE_S: Final = 600.0
@@ -104,20 +105,18 @@
         """
         assert self.store.list_prefix is not None
         is_first = not self.is_listed
-        keys = await self.store.list_prefix(PREFIX)
+        entries = await self.store.list_prefix(ROOT)
         self.is_listed = True
-        for key in keys:
+        for key in entries:
             address = _read_address(key)
             if address is None or address == self.table.own.address:
                 continue
             if self.table.find_record(address) is None:
                 self.greet(address)
-        if is_first:
-            key = LEFT_PREFIX + str(self.table.own.address)
-            entry = await self.store.get(key)
-            if entry is not None:
-                self.restore(entry.value)
-        self.log.log("registry.listed", hosts=len(keys))
+        left = entries.get(LEFT_PREFIX + str(self.table.own.address))
+        if is_first and left is not None:
+            self.restore(left.value)
+        self.log.log("registry.listed", entries=len(entries))
 
     def _get_interval(self) -> float:
         now = self.reactor.seconds()
@@ -133,6 +132,8 @@
 
 
 def _read_address(key: str) -> model.Address | None:
+    if not key.startswith(PREFIX):
+        return None
     try:
         return model.Address.parse(key.removeprefix(PREFIX))
     except core_exceptions.ModelError:
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -29,8 +29,13 @@
 # Hosts of a region that watch the store; two, so that one may fail unnoticed.
 WATCHERS: Final = 2
 # A watch waits this long at the store, in seconds. An open connection may go
-# silent, so this bounds how long that stays unnoticed.
-WATCH_S: Final = 1.5
+# silent, so this bounds how long that stays unnoticed; meanwhile the other
+# watchers tell of a change.
+WATCH_S: Final = 4.0
+# Before the first configuration the key is read this often, in seconds, by
+# the watchers, and by the other hosts in case no peer tells them.
+FIRST_READ_S: Final = 1.0
+OTHER_FIRST_READ_S: Final = 3.0
 # Changes that follow one another within this time are read together.
 COALESCE_S: Final = 0.4
 # Failed calls to the store are repeated after this, in seconds, doubling.
@@ -146,7 +151,7 @@
         pause_s = FIRST_PAUSE_S
         while not self._is_closed:
             if self.current is not None and not self._is_watcher():
-                await task.deferLater(self.reactor, RECHECK_S, _do_nothing)
+                await self._pause(RECHECK_S)
                 continue
             try:
                 entry = await self._read_next()
@@ -154,13 +159,24 @@
                 self.events.on_store(False)
                 self.log.log_request("versions.store-failed", error=error)
                 pause_s = min(MAX_PAUSE_S, 2.0 * pause_s)
-                delay_s = pause_s * (0.5 + self.rng.random())
-                await task.deferLater(self.reactor, delay_s, _do_nothing)
+                await self._pause(pause_s * (0.5 + self.rng.random()))
                 continue
             pause_s = FIRST_PAUSE_S
             self.events.on_store(True)
-            if self._take_entry(entry) or self.current is None:
-                await task.deferLater(self.reactor, COALESCE_S, _do_nothing)
+            if self._take_entry(entry):
+                await self._pause(COALESCE_S)
+            elif self.current is None:
+                await self._wait_for_first()
+
+    async def _wait_for_first(self) -> None:
+        """Waits before the next read; ends when a peer had a version."""
+        limit = FIRST_READ_S if self._is_watcher() else OTHER_FIRST_READ_S
+        until = self.reactor.seconds() + limit
+        while self.current is None and self.reactor.seconds() < until:
+            await self._pause(RECHECK_S)
+
+    async def _pause(self, delay_s: float) -> None:
+        await task.deferLater(self.reactor, delay_s, _do_nothing)
 
     async def _read_next(self) -> interface.Entry | None:
         if self._revision == 0:
--- a/libs/store/src/filbertlift_store/interface.py
+++ b/libs/store/src/filbertlift_store/interface.py
@@ -53,8 +53,8 @@
             the revision; fails with LeaseLost.
         watch: returns the entry once its revision is above the given one, or
             None after the wait in seconds or when the key is absent.
-        list_prefix: returns the keys that begin with a prefix; None where a
-            store has no such call.
+        list_prefix: returns the entries whose keys begin with a prefix; None
+            where a store has no such call.
     """
 
     get: Callable[[str], "defer.Deferred[Entry | None]"]
@@ -64,7 +64,9 @@
     keep_lease: Callable[[str], "defer.Deferred[None]"]
     put_leased: Callable[[str, bytes, str], "defer.Deferred[None]"]
     watch: Callable[[str, int, float], "defer.Deferred[Entry | None]"]
-    list_prefix: Callable[[str], "defer.Deferred[list[str]]"] | None = None
+    list_prefix: Callable[[str], "defer.Deferred[dict[str, Entry]]"] | None = (
+        None
+    )
 
 
 def _make_key(cluster: str, *parts: str) -> str:
