--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -114,9 +114,15 @@
             self._send(record.address, _RECORDS, records=[self._table.own])
 
     def tell_version(self) -> None:
-        """Tells some peers which configuration is in force here."""
+        """Tells some peers which configuration is in force here.
+
+        They are of this region: others have watchers of their own, and
+        digests carry the version across when those are cut off.
+        """
+        region = self._table.own.place.region
         live = self._table.list_live(self._reactor.seconds())
-        for record in self._rng.sample(live, min(FANOUT, len(live))):
+        near = [item for item in live if item.place.region == region]
+        for record in self._rng.sample(near, min(FANOUT, len(near))):
             self._send(record.address, _NEWS)
 
     # Twisted's protocol interface.
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -17,6 +17,11 @@
 SMALL: Final = "small"
 BULK: Final = "bulk"
 
+# Reasons of links that this node closes itself.
+IDLE: Final = "idle"
+STOPS: Final = "node stops"
+_PLANNED: Final = (IDLE, STOPS)
+
 Lane = tuple[model.Address, str]
 
 
@@ -84,12 +89,12 @@
         for link in list(self.links.values()):
             quiet = now - link.last_used
             if not link.outstanding and quiet > peerlink.IDLE_LIMIT_S:
-                link.close("idle")
+                link.close(IDLE)
 
     def close(self) -> None:
         """Closes all links."""
         for link in list(self.links.values()):
-            link.close("node stops")
+            link.close(STOPS)
 
     def _receive(
         self, link: peerlink.PeerLink, message: frames.Message
@@ -127,7 +132,7 @@
             if held is link:
                 del self.links[lane]
         lost = [item for item in self._calls.values() if item.link is link]
-        if reason != "idle":
+        if lost or reason not in _PLANNED:
             self.events.log(
                 "link.down", peer=link.address, reason=reason, calls=len(lost)
             )
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -41,7 +41,8 @@
 # Failed calls to the store are repeated after this, in seconds, doubling.
 FIRST_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 1.0
-# A peer has this long to hand over a configuration before the store is asked.
+# The watchers and peers of the region have this long to bring a version that
+# is known to exist, in seconds, before the store is asked for it.
 PEER_S: Final = 0.4
 # How often a host that does not watch looks whether it should, in seconds.
 RECHECK_S: Final = 0.2
@@ -119,10 +120,9 @@
             self.remote.find_link(peer, remotes.BULK).send(
                 frames.ConfigurationRequest(self.version)
             )
-        delay_s = PEER_S if is_near else 0.0
         if self._fetch_call is None or not self._fetch_call.active():
             self._fetch_call = self.reactor.callLater(
-                delay_s, self._fetch_from_store
+                PEER_S, self._fetch_from_store
             )
 
     def receive(self, link: peerlink.PeerLink, message: frames.Message) -> None:
