--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -133,6 +133,7 @@
         is_news = False
         for record in records:
             if record.address == self.own.address:
+                self._outlive(record.incarnation_ms)
                 continue
             entry = self._entries.get(record.address)
             if entry is None:
@@ -158,6 +159,7 @@
         for row in rows:
             seen.add(row.address)
             if row.address == self.own.address:
+                self._outlive(row.incarnation_ms)
                 if (row.incarnation_ms, row.revision) < self.own.stamp:
                     newer.append(self.own)
                 continue
@@ -225,6 +227,17 @@
                 del self._entries[address]
                 self.changes += 1
 
+    def _outlive(self, incarnation_ms: int) -> None:
+        """Raises this host's incarnation above that of an earlier node here.
+
+        The time of day may have been set back between the two starts.
+        """
+        if incarnation_ms > self.own.incarnation_ms:
+            self.own = attrs.evolve(
+                self.own, incarnation_ms=incarnation_ms + 1
+            )
+            self.changes += 1
+
     def _note_beat(self, entry: _Entry, row: DigestRow, now: float) -> None:
         if row.incarnation_ms != entry.record.incarnation_ms:
             return
--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -200,6 +200,7 @@
         self._connector: Any = None
         self._keeps_alive = False
         self._is_spoiled = False
+        self._report: Callable[[], None] | None = None
         self._reading = _Reading()
 
     def connect(self, reactor: Any, address: model.Address) -> None:
@@ -262,10 +263,12 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            self._is_spoiled = True
             if self._request is not None:
                 self._fail("malformed", str(error))
-            else:
-                self.drop()
+                return
+        if self._request is None:
+            self._finish()
             return
         if not self._is_closed and self._reading.head_bytes > MAX_HEAD_BYTES:
             self._fail("head-too-large", "head of the answer is too large")
@@ -280,6 +283,7 @@
         if is_clean and self._reading.has_head and self._reading.is_unframed:
             self._keeps_alive = False
             self._complete()
+            self._finish()
             return
         self._fail("lost", reason.getErrorMessage())
 
@@ -366,24 +370,32 @@
         )
 
     def _complete(self) -> None:
+        """Ends the exchange; it is reported when all bytes were read.
+
+        What follows a whole answer in the same bytes tells whether the
+        connection can carry another request.
+        """
         events, self._events = self._events, None
         self._request = None
+        if events is not None:
+            answer = self._make_answer(more=False)
+            if self._reading.is_streaming:
+                self._report = lambda: events.on_data(b"", True)
+            else:
+                self._report = lambda: events.on_answer(answer)
+        self._reset()
+
+    def _finish(self) -> None:
+        report, self._report = self._report, None
         output = self._output
         is_sent = output is not None and not output.is_full
-        answer = self._make_answer(more=False)
-        was_streaming = self._reading.is_streaming
-        self._reset()
         if self._keeps_alive and is_sent and not self._is_spoiled:
             self._pool.put_idle(self)
         else:
             # The rest of a body that is still unsent would follow later.
             self.drop()
-        if events is None:
-            return
-        if was_streaming:
-            events.on_data(b"", True)
-        else:
-            events.on_answer(answer)
+        if report is not None:
+            report()
 
     def _fail(self, reason: str, message: str) -> None:
         events, is_sent = self._events, self._is_sent
--- /dev/null
+++ b/libs/sidecar/tests/test_exchange.py
@@ -0,0 +1,186 @@
+"""Tests of connections to the target beside a node."""
+
+import pytest
+from twisted.internet import error as twisted_errors
+from twisted.internet import testing
+from twisted.python import failure
+
+from filbertlift_core import model
+from filbertlift_sidecar import exchange
+
+DIALECT = exchange.TargetDialect(
+    "X-Id", "X-Mark", "X-Not-Run", "X-Instance", "X-Deadline", "X-Caller"
+)
+ADDRESS = model.Address("127.0.0.1", 8080)
+
+
+class Bench:
+    """A pool whose connections end in memory, and what it reported."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.pool = exchange.TargetPool(self.reactor, ADDRESS, DIALECT)
+        self.answers = []
+        self.failures = []
+        self.data = []
+
+    def send(self, request_id="r-1", needs_fresh=False):
+        request = exchange.TargetRequest(
+            request_id, b"GET / HTTP/1.1\r\n\r\n", False, needs_fresh
+        )
+        events = exchange.ExchangeEvents(
+            self.answers.append,
+            lambda data, is_last: self.data.append((data, is_last)),
+            lambda reason, is_sent: self.failures.append((reason, is_sent)),
+        )
+        before = len(self.reactor.tcpClients)
+        connection = self.pool.send(request, events)
+        if len(self.reactor.tcpClients) > before:
+            factory = self.reactor.tcpClients[-1][2]
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(testing.StringTransport())
+        return connection
+
+
+def make_answer(request_id="r-1", body=b"hello", extra=b"", status=200):
+    return (
+        b"HTTP/1.1 %d Some\r\nX-Id: %b\r\nX-Mark: m\r\n%b"
+        b"Content-Length: %d\r\n\r\n%b"
+    ) % (status, request_id.encode(), extra, len(body), body)
+
+
+def lose(connection, kind):
+    connection.connectionLost(failure.Failure(kind()))
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_a_whole_answer_is_reported_and_the_connection_reused(bench):
+    first = bench.send()
+    first.dataReceived(make_answer())
+    assert [a.body for a in bench.answers] == [b"hello"]
+    assert bench.send("r-2") is first
+
+
+def test_a_late_answer_to_an_earlier_request_is_left_out(bench):
+    """Guards against an answer that goes to another caller."""
+    connection = bench.send("r-2")
+    connection.dataReceived(make_answer("r-1", b"old"))
+    assert bench.answers == []
+    connection.dataReceived(make_answer("r-2", b"new"))
+    assert [a.body for a in bench.answers] == [b"new"]
+    assert bench.send("r-3") is not connection
+
+
+def test_a_second_answer_ends_the_connection(bench):
+    connection = bench.send()
+    connection.dataReceived(make_answer() + make_answer(body=b"again"))
+    assert [a.body for a in bench.answers] == [b"hello"]
+    assert bench.send("r-2") is not connection
+
+
+def test_bytes_on_an_idle_connection_end_it(bench):
+    connection = bench.send()
+    connection.dataReceived(make_answer())
+    connection.dataReceived(make_answer(body=b"again"))
+    assert connection.transport.disconnected or connection.transport.disconnecting
+    assert bench.send("r-2") is not connection
+
+
+def test_an_answer_without_a_length_ends_with_its_connection(bench):
+    connection = bench.send()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\nhel")
+    connection.dataReceived(b"lo")
+    lose(connection, twisted_errors.ConnectionDone)
+    assert [a.body for a in bench.answers] == [b"hello"]
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_whole(bench):
+    """Guards against a cut answer that looks complete."""
+    connection = bench.send()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\nhel")
+    lose(connection, twisted_errors.ConnectionLost)
+    assert bench.answers == []
+    assert bench.failures[0][1] is True
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"HTTP/1.1 2", make_answer()[:-2], b"\x00\x01 no answer\r\n\r\n"],
+)
+def test_an_answer_that_breaks_off_may_have_run(bench, data):
+    connection = bench.send()
+    connection.dataReceived(data)
+    lose(connection, twisted_errors.ConnectionDone)
+    assert bench.answers == []
+    assert [is_sent for _reason, is_sent in bench.failures] == [True]
+
+
+def test_a_refused_connection_was_certainly_not_sent(bench):
+    bench.pool.send(
+        exchange.TargetRequest("r-1", b"x", False, False),
+        exchange.ExchangeEvents(
+            bench.answers.append,
+            lambda _data, _last: None,
+            lambda reason, is_sent: bench.failures.append((reason, is_sent)),
+        ),
+    )
+    factory = bench.reactor.tcpClients[-1][2]
+    factory.clientConnectionFailed(
+        None, failure.Failure(twisted_errors.ConnectionRefusedError())
+    )
+    assert [is_sent for _reason, is_sent in bench.failures] == [False]
+
+
+def test_a_call_that_runs_once_uses_no_connection_that_was_idle(bench):
+    """Guards against a call sent on a connection that the target dropped."""
+    connection = bench.send()
+    connection.dataReceived(make_answer())
+    bench.reactor.advance(1.0)
+    assert bench.send("r-2", needs_fresh=True) is not connection
+    assert bench.send("r-3") is connection
+
+
+def test_the_targets_own_idle_limit_is_kept(bench):
+    connection = bench.send()
+    connection.dataReceived(make_answer(extra=b"Keep-Alive: timeout=2\r\n"))
+    bench.reactor.advance(1.1)
+    assert bench.send("r-2") is not connection
+
+
+def test_a_refusal_may_come_without_an_id(bench):
+    connection = bench.send()
+    connection.dataReceived(
+        b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert [a.status for a in bench.answers] == [503]
+
+
+def test_an_answer_without_an_id_is_not_taken(bench):
+    connection = bench.send()
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+    )
+    assert bench.answers == []
+
+
+def test_a_dropped_exchange_reports_nothing(bench):
+    connection = bench.send()
+    connection.drop()
+    connection.dataReceived(make_answer())
+    assert bench.answers == bench.failures == []
+
+
+def test_a_large_answer_is_streamed(bench):
+    connection = bench.send()
+    size = exchange.MAX_WHOLE_BYTES + 10
+    connection.dataReceived(make_answer(body=b"x" * size)[:-4])
+    assert bench.answers[0].more and bench.answers[0].length == size
+    connection.dataReceived(b"xxxx")
+    total = len(bench.answers[0].body)
+    total += sum(len(data) for data, _last in bench.data)
+    assert total == size
+    assert bench.data[-1] == (b"", True)
--- /dev/null
+++ b/libs/sidecar/tests/test_keeper.py
@@ -0,0 +1,230 @@
+"""Tests of the keeper of calls beside a target."""
+
+import attrs
+import pytest
+from twisted.internet import task
+
+from filbertlift_mesh import announcements
+from filbertlift_mesh import directory
+from filbertlift_mesh import outcomes
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import exchange
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import keeper
+
+DIALECT = exchange.TargetDialect(
+    "X-Id", "X-Mark", "X-Not-Run", "X-Instance", "X-Deadline", "X-Caller"
+)
+AttemptEnd = outcomes.AttemptEnd
+
+
+class FakeConnection:
+    """A connection that remembers whether it was dropped."""
+
+    def __init__(self):
+        self.is_dropped = False
+
+    def drop(self):
+        self.is_dropped = True
+
+
+class FakePool:
+    """Takes requests; the test reports their ends."""
+
+    def __init__(self):
+        self.dialect = DIALECT
+        self.sent = []
+
+    def send(self, request, events):
+        connection = FakeConnection()
+        self.sent.append((request, events, connection))
+        return connection
+
+    def close(self):
+        """Nothing is open."""
+
+
+def make_call(number, **changes):
+    call = frames.Call(
+        number,
+        f"r-{number}",
+        "a",
+        "GET",
+        "/",
+        (),
+        b"",
+        1000,
+        400,
+        1000,
+        "safe",
+        1,
+        True,
+    )
+    return attrs.evolve(call, **changes)
+
+
+def make_answer(status=200, *marks):
+    headers = tuple((name, "1") for name in (marks or ("X-Mark",)))
+    return exchange.TargetAnswer(status, headers, b"body", 4, False)
+
+
+class Bench:
+    """A keeper with one slot and a target that is ready."""
+
+    def __init__(self, slots=1):
+        self.clock = task.Clock()
+        self.target = announcements.LocalTarget("t:1", 1.0)
+        self.pool = FakePool()
+        self.keeper = keeper.Keeper(
+            self.clock,
+            self.target,
+            self.pool,
+            eventlog.EventLog(self.clock.seconds, lambda _data: True),
+        )
+        self.answers = []
+        self.say(1, slots=slots)
+
+    def say(self, sequence, state=directory.TargetState.READY, slots=1):
+        record = directory.TargetRecord("i-1", 1, "a", slots, state)
+        self.target.note_beat(
+            announcements.Announcement(record, "t:1", sequence),
+            self.clock.seconds(),
+        )
+        self.keeper.refresh_target()
+
+    def submit(self, number, **changes):
+        return self.keeper.submit(
+            make_call(number, **changes),
+            self.answers.append,
+            lambda _chunk: None,
+        )
+
+    @property
+    def ends(self):
+        return [(a.stream, AttemptEnd(a.end)) for a in self.answers]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_a_call_is_answered_and_the_next_one_started(bench):
+    bench.submit(1)
+    bench.submit(2)
+    assert len(bench.pool.sent) == 1
+    bench.pool.sent[0][1].on_answer(make_answer())
+    assert bench.ends == [(1, AttemptEnd.ANSWERED)]
+    assert len(bench.pool.sent) == 2
+
+
+def test_a_waiting_call_that_is_withdrawn_never_runs(bench):
+    bench.submit(1)
+    waiting = bench.submit(2, is_idempotent=False)
+    bench.keeper.cancel(waiting)
+    bench.pool.sent[0][1].on_answer(make_answer())
+    assert len(bench.pool.sent) == 1
+
+
+def test_a_run_that_may_repeat_is_stopped_when_its_caller_leaves(bench):
+    """Guards against targets that work for callers that are gone."""
+    running = bench.submit(1)
+    bench.keeper.cancel(running)
+    assert bench.pool.sent[0][2].is_dropped
+    bench.submit(2)
+    assert len(bench.pool.sent) == 2
+
+
+def test_a_run_that_may_not_repeat_goes_on_and_keeps_its_slot(bench):
+    running = bench.submit(1, is_idempotent=False)
+    bench.keeper.cancel(running)
+    bench.submit(2)
+    assert not bench.pool.sent[0][2].is_dropped
+    assert len(bench.pool.sent) == 1
+    bench.pool.sent[0][1].on_answer(make_answer())
+    assert len(bench.pool.sent) == 2
+    assert bench.answers == []
+
+
+def test_nothing_starts_after_a_drain(bench):
+    """Guards against calls at a target whose drain was acknowledged."""
+    bench.submit(1)
+    bench.submit(2)
+    bench.say(2, directory.TargetState.DRAINING)
+    assert bench.ends == [(2, AttemptEnd.NOT_RUN)]
+    bench.pool.sent[0][1].on_answer(make_answer())
+    bench.submit(3)
+    assert len(bench.pool.sent) == 1
+    assert bench.ends[1:] == [(1, AttemptEnd.ANSWERED), (3, AttemptEnd.NOT_RUN)]
+
+
+def test_a_target_that_fell_silent_gets_nothing(bench):
+    bench.clock.advance(4.5)
+    bench.submit(1)
+    assert bench.pool.sent == []
+    assert bench.answers[0].reason == "no-target"
+
+
+def test_another_service_is_not_served(bench):
+    """Guards against calls at an address that another service took over."""
+    bench.submit(1, service="b")
+    assert bench.answers[0].reason == "other-service"
+
+
+@pytest.mark.parametrize(
+    ("answer", "end"),
+    [
+        (make_answer(), AttemptEnd.ANSWERED),
+        (make_answer(404), AttemptEnd.ANSWERED),
+        (make_answer(500), AttemptEnd.FAILED),
+        (make_answer(503, "X-Not-Run"), AttemptEnd.SHED),
+        (make_answer(421, "X-Other"), AttemptEnd.SHED),
+        # It ran; passed on, these would promise that it has not.
+        (make_answer(503), AttemptEnd.BROKEN),
+        (make_answer(429), AttemptEnd.BROKEN),
+        # Nobody knows who made it.
+        (make_answer(200, "X-Other"), AttemptEnd.BROKEN),
+    ],
+)
+def test_what_a_targets_answer_says(bench, answer, end):
+    bench.submit(1)
+    bench.pool.sent[0][1].on_answer(answer)
+    assert bench.ends == [(1, end)]
+
+
+@pytest.mark.parametrize(
+    ("is_sent", "end"),
+    [(True, AttemptEnd.BROKEN), (False, AttemptEnd.NOT_RUN)],
+)
+def test_a_lost_target_says_whether_the_call_was_sent(bench, is_sent, end):
+    bench.submit(1, is_idempotent=False)
+    bench.pool.sent[0][1].on_failure("lost", is_sent)
+    assert bench.ends == [(1, end)]
+
+
+def test_a_target_that_refuses_connections_frees_what_waits(bench):
+    bench.submit(1)
+    bench.submit(2)
+    bench.pool.sent[0][1].on_failure("refused", False)
+    assert {end for _stream, end in bench.ends} == {AttemptEnd.NOT_RUN}
+    bench.submit(3)
+    assert bench.answers[-1].reason == "target-down"
+    bench.clock.advance(keeper.DOWN_S)
+    bench.submit(4)
+    assert len(bench.pool.sent) == 2
+
+
+def test_a_run_without_an_end_frees_its_slot_after_its_deadline(bench):
+    """Guards against slots lost to a connection that went silent."""
+    bench.submit(1, left_ms=300)
+    bench.clock.pump([0.1] * 14)
+    bench.say(2)
+    bench.submit(2)
+    assert len(bench.pool.sent) == 2
+
+
+def test_the_target_is_told_what_is_left_and_who_is_meant(bench):
+    bench.submit(1, left_ms=300)
+    data = bench.pool.sent[0][0].data
+    assert b"X-Deadline: 300\r\n" in data
+    assert b"X-Instance: i-1\r\n" in data
--- /dev/null
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -0,0 +1,155 @@
+"""Tests of links between nodes and the calls on them."""
+
+import pytest
+from twisted.internet import error as twisted_errors
+from twisted.internet import testing
+from twisted.python import failure
+
+from filbertlift_core import model
+from filbertlift_mesh import outcomes
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import exceptions
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import peerlink
+from filbertlift_sidecar import remote
+
+PEER = model.Address("10.0.0.2", 7000)
+CALL = frames.Call(
+    0, "r-1", "a", "GET", "/", (), b"", 1000, 400, 1000, "safe", 1, True
+)
+AttemptEnd = outcomes.AttemptEnd
+
+
+class Bench:
+    """Calls to one peer over a connection in memory."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        log = eventlog.EventLog(self.reactor.seconds, lambda _data: True)
+        self.calls = remote.RemoteCalls(self.reactor, log)
+        self.answers = []
+        self.chunks = []
+
+    def submit(self):
+        return self.calls.submit(
+            PEER,
+            remote.SMALL,
+            CALL,
+            self.answers.append,
+            self.chunks.append,
+        )
+
+    def open(self):
+        factory = self.reactor.tcpClients[-1][2]
+        link = factory.buildProtocol(None)
+        link.makeConnection(testing.StringTransport())
+        return link
+
+    def read_sent(self, link):
+        self.reactor.advance(0)
+        data = link.transport.value()
+        link.transport.clear()
+        return frames.FrameReader().feed(data)
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_a_call_waits_for_its_link_and_is_answered(bench):
+    remote_call = bench.submit()
+    link = bench.open()
+    (sent,) = bench.read_sent(link)
+    assert sent.request_id == "r-1"
+    answer = frames.Answer(remote_call.stream, AttemptEnd.ANSWERED, "ok", 200)
+    link.dataReceived(frames.encode_message(answer))
+    assert bench.answers == [answer]
+    assert link.outstanding == 0
+
+
+def test_a_link_that_never_opened_has_not_carried_the_call(bench):
+    bench.submit()
+    bench.reactor.tcpClients[-1][2].clientConnectionFailed(
+        None, failure.Failure(twisted_errors.TimeoutError())
+    )
+    assert [a.end for a in bench.answers] == [AttemptEnd.NOT_RUN]
+
+
+def test_a_lost_link_leaves_its_calls_unknown(bench):
+    """Guards against "not run" for a call that the peer may have started."""
+    bench.submit()
+    bench.open().connectionLost(failure.Failure(twisted_errors.ConnectionLost()))
+    assert [a.end for a in bench.answers] == [AttemptEnd.BROKEN]
+
+
+def test_a_link_that_went_silent_is_given_up(bench):
+    """Guards against calls that wait for their deadline on a dead link."""
+    bench.submit()
+    link = bench.open()
+    bench.reactor.pump([0.1] * 14)
+    assert link.is_closed
+    assert [a.end for a in bench.answers] == [AttemptEnd.BROKEN]
+
+
+def test_a_link_that_answers_its_probes_stays(bench):
+    bench.submit()
+    link = bench.open()
+    for _ in range(40):
+        bench.reactor.advance(0.1)
+        for message in bench.read_sent(link):
+            if isinstance(message, frames.Ping):
+                link.dataReceived(frames.encode_message(frames.Pong(0)))
+    assert not link.is_closed
+
+
+def test_an_answer_after_the_call_was_withdrawn_is_left_out(bench):
+    remote_call = bench.submit()
+    link = bench.open()
+    bench.calls.cancel(remote_call)
+    sent = bench.read_sent(link)
+    assert isinstance(sent[-1], frames.Cancel)
+    answer = frames.Answer(remote_call.stream, AttemptEnd.ANSWERED, "ok", 200)
+    link.dataReceived(frames.encode_message(answer))
+    assert bench.answers == []
+
+
+def test_a_stream_that_loses_its_link_is_told_as_cut(bench):
+    remote_call = bench.submit()
+    link = bench.open()
+    head = frames.Answer(
+        remote_call.stream, AttemptEnd.ANSWERED, "ok", 200, more=True
+    )
+    link.dataReceived(frames.encode_message(head))
+    link.connectionLost(failure.Failure(twisted_errors.ConnectionLost()))
+    assert bench.chunks == [frames.Chunk(remote_call.stream, b"", True, True)]
+
+
+def test_idle_links_are_closed(bench):
+    remote_call = bench.submit()
+    link = bench.open()
+    bench.calls.cancel(remote_call)
+    bench.reactor.advance(peerlink.IDLE_LIMIT_S + 1)
+    bench.calls.close_idle()
+    assert link.is_closed
+
+
+@pytest.mark.parametrize("cut", [1, 4, 5, 9])
+def test_frames_may_arrive_in_parts(cut):
+    data = frames.encode_message(frames.Cancel(7)) * 2
+    reader = frames.FrameReader()
+    found = reader.feed(data[:cut]) + reader.feed(data[cut:])
+    assert found == [frames.Cancel(7), frames.Cancel(7)]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n",
+        frames.PREFIX.pack(1, 200) + b"\x90",
+        frames.PREFIX.pack(2, 3) + b"\x91\xa1",
+    ],
+)
+def test_bytes_that_are_no_frames_end_the_link(data):
+    with pytest.raises(exceptions.FrameError):
+        frames.FrameReader().feed(data)
