--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 
 VENV ?= $(or $(FILBERTLIFT_VENV),.venv)
 PY := $(VENV)/bin/python
-LIBS := core config membership distribution calls wire store transport node \
-        cli standins harness
+LIBS := core config membership distribution calls mesh wire store transport \
+        node sidecar cli standins harness
 empty :=
 space := $(empty) $(empty)
-SRC := $(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src)
+SRC := $(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src) $(CURDIR)/platform
 export PYTHONPATH := $(subst $(space),:,$(strip $(SRC)))
 SEED ?= 1
 
--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -233,9 +233,7 @@
         The time of day may have been set back between the two starts.
         """
         if incarnation_ms > self.own.incarnation_ms:
-            self.own = attrs.evolve(
-                self.own, incarnation_ms=incarnation_ms + 1
-            )
+            self.own = attrs.evolve(self.own, incarnation_ms=incarnation_ms + 1)
             self.changes += 1
 
     def _note_beat(self, entry: _Entry, row: DigestRow, now: float) -> None:
--- a/libs/node/src/filbertlift_node/__main__.py
+++ b/libs/node/src/filbertlift_node/__main__.py
@@ -18,11 +18,13 @@
 from filbertlift_node import dump
 from filbertlift_node import node as nodes
 from filbertlift_node import settings as node_settings
+from filbertlift_transport import clock
 
 
 def serve(flags: dict[str, str | None]) -> int:
     """Runs a node until it was stopped; returns the exit status."""
     reactor: Any = default_reactor
+    clock.use_steady_clock(reactor)
     logs.start_logs()
     try:
         settings = node_settings.NodeSettings.from_sources(flags, os.environ)
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -86,7 +86,9 @@
     connection = bench.send()
     connection.dataReceived(make_answer())
     connection.dataReceived(make_answer(body=b"again"))
-    assert connection.transport.disconnected or connection.transport.disconnecting
+    assert (
+        connection.transport.disconnected or connection.transport.disconnecting
+    )
     assert bench.send("r-2") is not connection
 
 
@@ -161,9 +163,7 @@
 
 def test_an_answer_without_an_id_is_not_taken(bench):
     connection = bench.send()
-    connection.dataReceived(
-        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
-    )
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
     assert bench.answers == []
 
 
--- /dev/null
+++ b/libs/sidecar/tests/test_flow.py
@@ -0,0 +1,295 @@
+"""Tests of calls at their entry, without a network."""
+
+import random
+
+import pytest
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_mesh import configuration
+from filbertlift_mesh import directory
+from filbertlift_mesh import outcomes
+from filbertlift_mesh import placement
+from filbertlift_mesh import repeats
+from filbertlift_sidecar import entry as entries
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import exchange
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import metrics
+from filbertlift_transport import http
+
+DIALECT = exchange.TargetDialect(
+    "X-Id", "X-Mark", "X-Not-Run", "X-Instance", "X-Deadline", "X-Caller"
+)
+PLACE = model.Place("north", "n-1")
+OWN = model.Address("10.0.0.1", 7000)
+AttemptEnd = outcomes.AttemptEnd
+
+
+class FakeReply:
+    """The answer that a caller gets."""
+
+    def __init__(self):
+        self.sent = []
+        self.on_gone = None
+        self.is_aborted = False
+        self.closes = False
+
+    def send(self, status, headers, body):
+        names = {header.name: header.value for header in headers}
+        self.sent.append((status, names, body))
+
+    def start(self, status, headers, length):
+        self.sent.append((status, length, b""))
+
+    def write(self, data):
+        status, length, body = self.sent[-1]
+        self.sent[-1] = (status, length, body + data)
+
+    def finish(self):
+        self.sent.append("finished")
+
+    def abort(self):
+        self.is_aborted = True
+
+    def close_after(self):
+        self.closes = True
+
+
+class FakeRemote:
+    """Takes calls to other hosts; the test answers them."""
+
+    def __init__(self):
+        self.calls = []
+        self.cancelled = []
+
+    def submit(self, address, lane, call, on_answer, on_chunk):
+        del lane
+        self.calls.append((address, call, on_answer, on_chunk))
+        return len(self.calls) - 1
+
+    def cancel(self, number):
+        self.cancelled.append(number)
+
+    def answer(self, number, end, reason="ok", **fields):
+        self.calls[number][2](frames.Answer(0, end, reason, **fields))
+
+
+class Bench:
+    """An entry with two targets of service a on other hosts."""
+
+    def __init__(self, kind="safe", hosts=(2, 3)):
+        self.clock = task.Clock()
+        self.remote = FakeRemote()
+        places = placement.Placement(PLACE, OWN, random.Random(1))
+        places.update([self.make_record(number) for number in hosts])
+        self.entry = entries.Entry(
+            self.clock,
+            OWN,
+            "origin",
+            DIALECT,
+            places,
+            repeats.RepeatBudget(repeats.RepeatPolicy()),
+            None,
+            self.remote,
+            eventlog.EventLog(self.clock.seconds, lambda _data: True),
+            metrics.NodeMetrics.create(),
+            lambda: None,
+        )
+        route = configuration.Route(
+            "r",
+            "h.example",
+            "/x/",
+            configuration.CallKind(kind),
+            1.0,
+            0.4,
+            2,
+            1,
+            (configuration.Share("a", 1.0),),
+        )
+        self.entry.put_in_force(
+            configuration.Configuration.from_routes(
+                1,
+                [route],
+                {"a": configuration.ServicePolicy("/", 9)},
+                configuration.ClientLimits(),
+            )
+        )
+
+    def make_record(self, number):
+        target = directory.TargetRecord(
+            f"i-{number}", 1, "a", 6, directory.TargetState.READY
+        )
+        return directory.HostRecord(
+            model.Address(f"10.0.0.{number}", 7000),
+            1,
+            1,
+            PLACE,
+            False,
+            target,
+            True,
+        )
+
+    def call(self, path="/x/1", host="h.example", **headers):
+        request = http.Request(
+            "GET",
+            path,
+            {"host": host, "x-id": "r-1", "x-deadline": "1000", **headers},
+            b"",
+            model.Address("10.0.0.1", 5),
+        )
+        reply = FakeReply()
+        self.entry.handle(request, reply)
+        return reply
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+@pytest.fixture
+def unsafe_bench():
+    return Bench("unsafe")
+
+
+def test_an_answer_is_passed_on_unchanged(bench):
+    reply = bench.call()
+    headers = (("X-Mark", "m"), ("Transfer-Encoding", "chunked"))
+    bench.remote.answer(
+        0, AttemptEnd.ANSWERED, status=200, headers=headers, body=b"whole"
+    )
+    assert reply.sent == [(200, {"X-Mark": "m"}, b"whole")]
+    assert not bench.entry.flows
+
+
+def test_the_caller_is_named_by_the_host_not_by_the_request(bench):
+    """Guards against a caller that claims to be another service."""
+    bench.call(**{"x-caller": "forged", "x-instance": "i-9", "te": "x"})
+    headers = dict(bench.remote.calls[0][1].headers)
+    assert headers["X-Caller"] == "origin"
+    assert not {"x-caller", "x-instance", "x-deadline", "te"} & set(headers)
+
+
+def test_a_refused_call_goes_to_the_other_target(unsafe_bench):
+    reply = unsafe_bench.call()
+    unsafe_bench.remote.answer(0, AttemptEnd.NOT_RUN, "queue-full")
+    assert len(unsafe_bench.remote.calls) == 2
+    unsafe_bench.remote.answer(1, AttemptEnd.NOT_RUN, "queue-full")
+    status, headers, _body = reply.sent[0]
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+
+
+def test_a_call_that_may_have_run_is_not_repeated(unsafe_bench):
+    """Guards against a booking that is made twice."""
+    reply = unsafe_bench.call()
+    unsafe_bench.remote.answer(0, AttemptEnd.BROKEN, "link-lost")
+    assert len(unsafe_bench.remote.calls) == 1
+    assert reply.sent[0][0] == 502
+
+
+def test_an_idempotent_call_is_repeated_at_another_target(bench):
+    reply = bench.call()
+    bench.remote.answer(0, AttemptEnd.BROKEN, "link-lost")
+    first, second = (call[0] for call in bench.remote.calls)
+    assert first != second
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200)
+    assert reply.sent[0][0] == 200
+
+
+def test_a_failure_of_the_target_is_passed_on_without_budget(bench):
+    while bench.entry.budget.take("a", 0.0):
+        pass
+    reply = bench.call()
+    bench.remote.answer(
+        0, AttemptEnd.FAILED, "target-500", status=500, body=b"theirs"
+    )
+    assert reply.sent == [(500, {}, b"theirs")]
+
+
+def test_full_targets_are_asked_again_to_queue_the_call(bench):
+    """Guards against refusing a call that a queue would still serve."""
+    bench.call()
+    for number in (0, 1):
+        bench.remote.answer(number, AttemptEnd.NOT_RUN, "wait-too-long", busy=8)
+    patient = bench.remote.calls[2][1]
+    assert patient.max_wait_ms == patient.left_ms
+
+
+def test_a_caller_is_answered_at_the_routes_timeout(bench):
+    reply = bench.call()
+    bench.clock.advance(1.0)
+    assert reply.sent[0][0] == 504
+    assert bench.remote.cancelled
+
+
+def test_a_call_is_withdrawn_when_its_caller_leaves(bench):
+    reply = bench.call()
+    reply.on_gone()
+    assert bench.remote.cancelled == [0]
+    assert not bench.entry.flows
+    bench.clock.advance(5.0)
+    assert reply.sent == []
+
+
+def test_a_silent_target_is_hedged_and_the_first_answer_counts(bench):
+    reply = bench.call()
+    bench.clock.advance(0.5)
+    assert len(bench.remote.calls) == 2
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200, body=b"2")
+    assert reply.sent == [(200, {}, b"2")]
+    assert bench.remote.cancelled == [0]
+
+
+def test_a_call_that_runs_once_is_not_hedged(unsafe_bench):
+    unsafe_bench.call()
+    unsafe_bench.clock.advance(0.9)
+    assert len(unsafe_bench.remote.calls) == 1
+
+
+def test_a_stream_that_breaks_does_not_look_whole(bench):
+    """Guards against a download cut midway that the caller takes as whole."""
+    reply = bench.call()
+    bench.remote.answer(
+        0,
+        AttemptEnd.ANSWERED,
+        status=200,
+        body=b"part",
+        length=99,
+        more=True,
+    )
+    bench.remote.calls[0][3](frames.Chunk(0, b"", True, True))
+    assert reply.is_aborted
+    assert "finished" not in reply.sent
+
+
+def test_a_path_without_a_route_is_unknown(bench):
+    assert bench.call("/y/").sent[0][0] == 404
+    assert bench.call(host="other.example").sent[0][0] == 404
+
+
+def test_without_a_configuration_a_caller_may_come_back(bench):
+    """Guards against a 404 of a node that knows no route yet."""
+    bench.entry.configuration = None
+    assert bench.call().sent[0][0] == 503
+
+
+def test_without_a_target_a_call_is_refused_at_once():
+    reply = Bench(hosts=()).call()
+    assert reply.sent[0][0] == 503
+
+
+def test_a_leaving_node_closes_its_connections(bench):
+    bench.entry.is_leaving = True
+    assert bench.call().closes
+
+
+def test_in_flight_counts_end_at_zero(bench):
+    """Guards against targets that look busy for calls that are over."""
+    for _ in range(3):
+        bench.call()
+        bench.clock.advance(0.5)
+        bench.clock.advance(0.6)
+    views = bench.entry.placement.views["a"].values()
+    assert [view.in_flight for view in views] == [0, 0]
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -79,7 +79,9 @@
 def test_a_lost_link_leaves_its_calls_unknown(bench):
     """Guards against "not run" for a call that the peer may have started."""
     bench.submit()
-    bench.open().connectionLost(failure.Failure(twisted_errors.ConnectionLost()))
+    bench.open().connectionLost(
+        failure.Failure(twisted_errors.ConnectionLost())
+    )
     assert [a.end for a in bench.answers] == [AttemptEnd.BROKEN]
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -2,10 +2,6 @@
 
 import json
 
-from filbertlift_platform import configurations
-from filbertlift_platform import exceptions
-from filbertlift_platform import reports
-from filbertlift_platform import settings
 import pytest
 
 from filbertlift_core import exceptions as core_exceptions
@@ -13,6 +9,10 @@
 from filbertlift_mesh import announcements
 from filbertlift_mesh import configuration
 from filbertlift_mesh import directory
+from filbertlift_platform import configurations
+from filbertlift_platform import exceptions
+from filbertlift_platform import reports
+from filbertlift_platform import settings
 from filbertlift_transport import http
 
 SETTINGS = """\
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -12,6 +12,7 @@
     "membership": PURE,
     "distribution": ("core", "config"),
     "calls": PURE,
+    "mesh": ("core", "calls"),
     "wire": PURE,
     "store": ("core", "config"),
     "transport": ("core", "wire"),
@@ -25,14 +26,36 @@
         "store",
         "transport",
     ),
+    "sidecar": ("core", "mesh", "store", "transport"),
     "cli": ("core", "config", "store"),
     "standins": ("core", "config", "transport"),
     "harness": ("core", "config", "store", "standins", "cli"),
 }
 # Decisions must run without sockets, clocks or random numbers of their own.
-PURE_LIBRARIES = ("config", "membership", "distribution", "calls")
+PURE_LIBRARIES = ("config", "membership", "distribution", "calls", "mesh")
 FORBIDDEN_IN_PURE = ("twisted", "time", "socket", "asyncio", "threading")
 PREFIX = "filbertlift_"
+# The adapter to the users' platform may import these; nothing imports it.
+ADAPTER = "platform"
+ADAPTER_ALLOWED = ("core", "mesh", "sidecar", "store", "transport")
+# Names of the platform, which belong into the adapter alone.
+ADAPTER_NAMES = (
+    "Caller-Service",
+    "FILBERTLIFT_NODE_FILE",
+    "Instances.",
+    "Not-Executed",
+    "Request-Deadline",
+    "Response-Signature",
+    "Target-Instance",
+    "coldRemainingMs",
+    "heartbeatMs",
+    "kv-",
+    "op/config",
+    "portRange",
+    "routeType",
+    "targetLatencyMs",
+    "trafficSplit",
+)
 
 
 def find_imports(tree: ast.Module) -> list[tuple[int, str, str | None]]:
@@ -56,17 +79,31 @@
     if not top.startswith(PREFIX):
         return None
     other = top.removeprefix(PREFIX)
-    if other != library and other not in ALLOWED[library]:
+    allowed = ADAPTER_ALLOWED if library == ADAPTER else ALLOWED[library]
+    if other != library and other not in allowed:
         return f"{library} must not import {other}"
     if name is not None and module != top:
         return f"import the module {module}, not the name {name}"
     return None
 
 
+def check_names(path: pathlib.Path, text: str) -> list[str]:
+    """Returns the lines outside the adapter with names of the platform."""
+    return [
+        f"{path}:{number}: {name!r} belongs into platform/"
+        for number, line in enumerate(text.splitlines(), 1)
+        for name in ADAPTER_NAMES
+        if name in line
+    ]
+
+
 def check_file(library: str, path: pathlib.Path) -> list[str]:
     """Returns the refused imports of one file, one line each."""
-    tree = ast.parse(path.read_text(encoding="utf-8"))
+    text = path.read_text(encoding="utf-8")
+    tree = ast.parse(text)
     problems = []
+    if library != ADAPTER:
+        problems += check_names(path, text)
     for line, module, name in find_imports(tree):
         reason = check_import(library, module, name)
         if reason is not None:
@@ -76,8 +113,11 @@
 
 def main() -> int:
     """Checks every library; returns the exit status."""
-    root = pathlib.Path(__file__).resolve().parent.parent / "libs"
+    top = pathlib.Path(__file__).resolve().parent.parent
+    root = top / "libs"
     problems: list[str] = []
+    for path in sorted((top / "platform").rglob("*.py")):
+        problems += check_file(ADAPTER, path)
     for library in sorted(ALLOWED):
         for path in sorted((root / library / "src").rglob("*.py")):
             problems += check_file(library, path)
