Keep HTTP headers apart from the other messages between nodes

Cause: the HTTP library loads all control messages for one record: 45 ms of a node's start (python -X importtime).

Change: filbertlift_wire.headers.

--- a/libs/transport/src/filbertlift_transport/http.py
+++ b/libs/transport/src/filbertlift_transport/http.py
@@ -7,9 +7,9 @@
 
 from filbertlift_core import model
 from filbertlift_transport import uploads
-from filbertlift_wire import messages
+from filbertlift_wire import headers as wire_headers
 
-Header = messages.Header
+Header = wire_headers.Header
 
 # Each connection has its own framing; these never travel from one to another.
 FRAMING_HEADERS = frozenset(
--- a/libs/wire/src/filbertlift_wire/messages.py
+++ b/libs/wire/src/filbertlift_wire/messages.py
@@ -11,22 +11,16 @@
 import msgspec
 
 from filbertlift_core import model
+from filbertlift_wire import headers
 
 U16 = Annotated[int, msgspec.Meta(ge=0, lt=2**16)]
 U32 = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 # msgspec takes no bound above 63 bits.
 U63 = Annotated[int, msgspec.Meta(ge=0, lt=2**63 - 1)]
-# Text that is written into the head of an HTTP message.
-Line = Annotated[str, msgspec.Meta(pattern=r"\A[^\r\n\0]*\Z")]
-Word = Annotated[str, msgspec.Meta(pattern=r"\A[!-~\x80-\U0010ffff]+\Z")]
-
-
-@attrs.frozen
-class Header:
-    """One HTTP header of a call or an answer."""
-
-    name: Word
-    value: Line
+# The HTTP library uses headers without the other messages.
+Word = headers.Word
+Line = headers.Line
+Header = headers.Header
 
 
 @attrs.frozen
