--- a/libs/mesh/tests/test_overload.py
+++ b/libs/mesh/tests/test_overload.py
@@ -136,6 +136,6 @@
 
 def test_a_short_swing_is_absorbed():
     """Guards against refusing work that the next second could serve."""
-    outcome = play(1.1, seconds=2.0)
-    fifo = play(1.1, seconds=2.0, is_fifo=True)
+    outcome = play(1.3, seconds=3.0)
+    fifo = play(1.3, seconds=3.0, is_fifo=True)
     assert get_credit(outcome) > get_credit(fifo)
