--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -41,6 +41,7 @@
         caller_service: service of this host, told to targets.
         configuration: the version in force, None before the first.
         is_leaving: whether answers close their connection.
+        refusal: why no further call is taken, or empty.
         flows: calls under way.
     """
 
@@ -60,6 +61,7 @@
         factory=configurations.SplitCounter
     )
     is_leaving: bool = False
+    refusal: str = ""
     flows: set[flow.Flow] = attrs.field(factory=set)
 
     def put_in_force(self, version: configurations.Configuration) -> None:
@@ -71,6 +73,9 @@
         """Takes one request of a caller."""
         if self.is_leaving:
             reply.close_after()
+        if self.refusal:
+            self.refuse(reply, request, self.refusal, NOT_READY_RETRY_S)
+            return
         if self.configuration is None:
             self.refuse(reply, request, "no-configuration", NOT_READY_RETRY_S)
             return
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -37,7 +37,8 @@
 from filbertlift_transport import server
 
 # After SIGTERM callers are told to go elsewhere by two readiness checks, one a
-# second; until then their calls are served.
+# second; until then their calls are served. What still comes later is refused,
+# since it might not end before the process does.
 LEAVE_S: Final = 2.6
 # Work under way may last until this long before the grace ends, in seconds.
 LAST_S: Final = 0.4
@@ -201,7 +202,7 @@
         self._update_own()
         self._reactor.callLater(PEER_LEAVE_S, self._refuse_peers)
         self._reactor.callLater(
-            LEAVE_S, self._check_drain, now + self.settings.grace_s - LAST_S
+            LEAVE_S, self._drain, now + self.settings.grace_s - LAST_S
         )
 
     def reload(self, settings: node_settings.NodeSettings) -> None:
@@ -369,6 +370,10 @@
     def _refuse_peers(self) -> None:
         self._inbound.refusal = "leaving"
 
+    def _drain(self, limit: float) -> None:
+        self.entry.refusal = "leaving"
+        self._check_drain(limit)
+
     def _check_drain(self, limit: float) -> None:
         is_idle = not self.entry.flows and not self._keeper.in_flight
         if is_idle or self._reactor.seconds() >= limit:
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -293,3 +293,17 @@
         bench.clock.advance(0.6)
     views = bench.entry.placement.views["a"].values()
     assert [view.in_flight for view in views] == [0, 0]
+
+
+def test_a_node_about_to_end_refuses_what_still_comes(bench):
+    """Guards against a call taken just before the process ends.
+
+    Found by a hunt on tussock-hq.toml (hunt-ec1c-19): calls went on coming
+    until the end of the grace, and the last one was cut.
+    """
+    bench.entry.is_leaving = True
+    bench.entry.refusal = "leaving"
+    reply = bench.call()
+    assert reply.sent[0][0] == 503
+    assert reply.closes
+    assert bench.remote.calls == []
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,156 @@
+"""Tests of the client of the platform's store, without a network."""
+
+import base64
+import json
+from urllib import parse
+
+import pytest
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_platform import store
+from filbertlift_store import exceptions
+from filbertlift_transport import client
+
+
+class FakePool:
+    """Takes requests; the test answers them."""
+
+    def __init__(self):
+        self.requests = []
+
+    def request(self, method, path, headers, body, events):
+        del headers
+        call = client.ClientCall(b"", False, events)
+        self.requests.append((method, path, body, events, call))
+        return call
+
+    def answer(self, status, content):
+        events = self.requests[-1][3]
+        events.on_head(status, (), None)
+        events.on_data(json.dumps(content).encode())
+        events.on_end()
+
+    def read_query(self):
+        path = self.requests[-1][1]
+        return dict(parse.parse_qsl(parse.urlsplit(path).query))
+
+
+@pytest.fixture
+def pool(monkeypatch):
+    made = FakePool()
+    monkeypatch.setattr(
+        client.HttpPool, "from_address", lambda *_arguments: made
+    )
+    return made
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+@pytest.fixture
+def access(pool, clock):
+    del pool
+    address = model.Address("10.0.0.9", 80)
+    return store.make_store(clock, address, lambda _operation, _result: None)
+
+
+def make_item(rev, value=b"v", key="k", **fields):
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "rev": rev, **fields}
+
+
+def read_error(deferred):
+    return deferred.addErrback(lambda reason: reason.value).result
+
+
+def test_a_key_is_read(access, pool):
+    found = access.get("k")
+    pool.answer(200, make_item(7, currentRev=9))
+    assert found.result.value == b"v"
+    assert found.result.revision == 7
+
+
+def test_a_missing_key_is_none(access, pool):
+    found = access.get("k")
+    pool.answer(404, {})
+    assert found.result is None
+
+
+def test_a_watch_goes_on_after_changes_of_other_keys(access, pool):
+    """Guards against a watch that is answered at once for ever.
+
+    Seen on trouble-1 of cald-apost.toml: 2,601 calls to the store in a day.
+    """
+    access.watch("k", 7, 4.0)
+    pool.answer(
+        200, {"events": [make_item(8, key="k/other")], "currentRev": 12}
+    )
+    access.watch("k", 7, 4.0)
+    assert pool.read_query()["after"] == "12"
+
+
+def test_a_watch_goes_on_after_the_history_was_dropped(access, pool):
+    """Guards against reading the key again and again after a 410."""
+    found = access.watch("k", 7, 4.0)
+    pool.answer(410, {})
+    pool.answer(200, make_item(7, currentRev=30))
+    assert found.result.revision == 7
+    access.watch("k", 7, 4.0)
+    assert pool.read_query()["after"] == "30"
+
+
+def test_a_watch_returns_the_newest_change_of_its_key(access, pool):
+    found = access.watch("k", 7, 4.0)
+    events = [
+        make_item(8, b"old"),
+        make_item(9, b"new"),
+        {"key": "k", "rev": 10, "tombstone": True},
+    ]
+    pool.answer(200, {"events": events, "currentRev": 10})
+    assert found.result.value == b"new"
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_refused_call_was_not_done(access, pool, status):
+    done = access.put_leased("k", b"v", "5")
+    pool.answer(status, {})
+    assert isinstance(read_error(done), exceptions.StoreUnavailable)
+
+
+def test_a_call_without_an_answer_may_have_been_done(access, pool, clock):
+    """Guards against taking a lost answer for a failure."""
+    done = access.put_leased("k", b"v", "5")
+    clock.advance(store.CALL_TIMEOUT_S)
+    assert isinstance(read_error(done), exceptions.StoreUncertain)
+    assert pool.requests[-1][4].is_over
+
+
+def test_a_lapsed_lease_is_told(access, pool):
+    done = access.keep_lease("5")
+    pool.answer(404, {})
+    assert isinstance(read_error(done), exceptions.LeaseLost)
+
+
+def test_a_change_under_a_condition_that_failed_is_a_conflict(access, pool):
+    done = access.compare_and_swap("k", 3, b"v")
+    pool.answer(412, {})
+    assert isinstance(read_error(done), exceptions.StoreConflict)
+
+
+def test_all_pages_of_a_list_are_read(access, pool):
+    found = access.list_prefix("p/")
+    first = {"items": [make_item(1, key="p/a")], "truncated": True}
+    pool.answer(200, first)
+    assert pool.read_query()["after"] == "p/a"
+    pool.answer(200, {"items": [make_item(2, key="p/b")]})
+    assert sorted(found.result) == ["p/a", "p/b"]
+
+
+@pytest.mark.parametrize("content", [[], {"key": 1}, "text"])
+def test_an_answer_that_cannot_be_read_is_no_result(access, pool, content):
+    found = access.get("k")
+    pool.answer(200, content)
+    assert isinstance(read_error(found), exceptions.StoreUncertain)
