Hand configurations over compressed, from hosts with wide links; measure the way

Change: a version travels compressed; watchers are ranked by their link first; digests go to the own data centre first and are answered by differences only; an answer tells how long its call waited, so that the entry measures the rest as the way to that host.

--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -59,6 +59,7 @@
         target: the target beside it, None before its first heartbeat.
         has_store: whether the store answers it; only such a host watches for
             new configurations.
+        link_kbps: capacity of its network link, in kilobits a second.
     """
 
     address: model.Address
@@ -68,6 +69,7 @@
     is_leaving: bool
     target: TargetRecord | None
     has_store: bool
+    link_kbps: int = 1_000_000
 
     @property
     def stamp(self) -> tuple[int, int]:
@@ -98,10 +100,12 @@
 
     Attributes:
         newer_here: records that the peer lacks.
+        newer_beats: heartbeats that the peer has not heard of.
         wanted: addresses of records that this node lacks.
     """
 
     newer_here: tuple[HostRecord, ...]
+    newer_beats: tuple[DigestRow, ...]
     wanted: tuple[model.Address, ...]
 
 
@@ -154,6 +158,7 @@
     ) -> DigestDifference:
         """Notes the heartbeats of a digest and compares the records."""
         newer: list[HostRecord] = []
+        beats: list[DigestRow] = []
         wanted: list[model.Address] = []
         seen: set[model.Address] = set()
         for row in rows:
@@ -171,12 +176,14 @@
                 newer.append(entry.record)
             if entry is not None:
                 self._note_beat(entry, row, now)
+                if entry.beat > row.beat:
+                    beats.append(attrs.evolve(row, beat=entry.beat))
         newer += [
             record
             for record in self.list_live(now)
             if record.address not in seen
         ]
-        return DigestDifference(tuple(newer), tuple(wanted))
+        return DigestDifference(tuple(newer), tuple(beats), tuple(wanted))
 
     def note_heard(self, address: model.Address, now: float) -> None:
         """Notes that a host was heard directly."""
--- a/libs/mesh/src/filbertlift_mesh/placement.py
+++ b/libs/mesh/src/filbertlift_mesh/placement.py
@@ -36,6 +36,9 @@
     Distance.REGION: 0.004,
     Distance.ELSEWHERE: 0.045,
 }
+# The way of earlier calls, measured, counts for this long, in seconds; then the
+# host gets another chance.
+WAY_AGE_S: Final = 3.0
 # What the bytes of a call count for on the way there, in seconds of waiting.
 # Links between data centres are paid by volume, and far more those between
 # regions; an answer to a download is some fifty times larger than others.
@@ -82,6 +85,9 @@
         sent_since: calls sent from here since then.
         service: service time over all classes, as reported.
         services: service time by class.
+        ways: time of earlier calls besides waiting and running, for small and
+            for large answers; it shows slow hosts and narrow links.
+        way_at: when the last one was measured, in seconds.
         failure: share of recent calls that failed, 0 to 1.
         failed_at: when that was last brought up to date, in seconds.
     """
@@ -95,6 +101,8 @@
     sent_since: int = 0
     service: backlog.Mean = attrs.field(factory=backlog.Mean)
     services: dict[str, backlog.Mean] = attrs.field(factory=dict)
+    ways: dict[bool, backlog.Mean] = attrs.field(factory=dict)
+    way_at: dict[bool, float] = attrs.field(factory=dict)
     failure: float = 0.0
     failed_at: float = _NEVER
 
@@ -119,6 +127,19 @@
         self.service.add(service_s)
         self.services.setdefault(work_class, backlog.Mean()).add(service_s)
 
+    def note_way(self, is_download: bool, way_s: float, now: float) -> None:
+        """Records the time of a call besides waiting and running."""
+        if now - self.way_at.get(is_download, _NEVER) > WAY_AGE_S:
+            self.ways.pop(is_download, None)
+        self.ways.setdefault(is_download, backlog.Mean()).add(way_s)
+        self.way_at[is_download] = now
+
+    def get_way(self, is_download: bool, now: float) -> float:
+        """Returns the expected time besides waiting and running."""
+        if now - self.way_at.get(is_download, _NEVER) > WAY_AGE_S:
+            return WAY_S[self.distance]
+        return max(WAY_S[self.distance], self.ways[is_download].value)
+
     def note_result(self, is_failure: bool, now: float) -> None:
         """Records whether a call that the target ran failed."""
         self.failure = self.get_failure(now)
@@ -228,7 +249,7 @@
 
     def estimate_cost(self, view: TargetView, wish: Wish, now: float) -> float:
         """Returns the expected time of a call there, in seconds."""
-        cost = WAY_S[view.distance] + view.estimate_wait(now)
+        cost = view.get_way(wish.is_download, now) + view.estimate_wait(now)
         cost += self._get_service_time(view, wish)
         cost += FAILURE_COST_S * view.get_failure(now)
         paid = DOWNLOAD_BYTES_S if wish.is_download else BYTES_S
--- a/libs/mesh/tests/test_placement.py
+++ b/libs/mesh/tests/test_placement.py
@@ -155,3 +155,18 @@
     )
     places.update([make_record(2, target=target, revision=2)])
     assert places.views["a"][NEAR.address].services == {}
+
+
+def test_a_host_behind_a_narrow_link_gets_fewer_downloads():
+    """Guards against large answers that wait on a link of 3.5 Mbit/s.
+
+    Seen on tussock-hq-grown.toml, where links differ twentyfold.
+    """
+    places = make_placement(NEAR, make_record(5))
+    narrow, wide = places.views["a"].values()
+    for view in (narrow, wide):
+        view.note_service("safe-0.4-1", 0.1)
+    narrow.note_way(True, 0.3, 0.0)
+    wide.note_way(True, 0.02, 0.0)
+    assert choose_number(places, make_wish(is_download=True)) == 5
+    assert narrow.get_way(True, 4.0) == placement.WAY_S[narrow.distance]
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -42,12 +42,14 @@
 
     Attributes:
         view: the target that was chosen.
+        sent_at: when it was sent, in seconds.
         withdraw: takes the call back.
         is_over: whether it ended.
     """
 
     view: placement.TargetView
     is_hedge: bool
+    sent_at: float
     withdraw: Callable[[], None] | None = None
     is_over: bool = False
 
@@ -113,7 +115,7 @@
             if not is_hedge:
                 self._refuse()
             return
-        attempt = Attempt(view, is_hedge)
+        attempt = Attempt(view, is_hedge, now)
         self._attempts.append(attempt)
         self._tried.add(view.address)
         self.sent += 1
@@ -273,9 +275,12 @@
             return
         view.note_result(end is not AttemptEnd.ANSWERED, now)
         if answer.service_us:
-            view.note_service(
-                self.route.work_class, answer.service_us / 1_000_000
-            )
+            service_s = answer.service_us / keeper.MICROSECONDS
+            wait_s = answer.wait_us / keeper.MICROSECONDS
+            view.note_service(self.route.work_class, service_s)
+            is_download = self.route.kind is configuration.CallKind.DOWNLOAD
+            way_s = now - attempt.sent_at - service_s - wait_s
+            view.note_way(is_download, max(0.0, way_s), now)
 
     def _note_refusal(self, attempt: Attempt, answer: frames.Answer) -> None:
         self.sent -= 1
--- a/libs/sidecar/src/filbertlift_sidecar/frames.py
+++ b/libs/sidecar/src/filbertlift_sidecar/frames.py
@@ -68,6 +68,7 @@
         busy: calls that run or wait at this target now.
         service_us: how long the target took, in microseconds; 0 when it says
             nothing about its speed.
+        wait_us: how long the call waited for a slot, in microseconds.
         retry_after_ms: when there should be room.
         target_id: the target that was asked.
     """
@@ -84,6 +85,7 @@
     service_us: int = 0
     retry_after_ms: int = 0
     target_id: str = ""
+    wait_us: int = 0
 
 
 @attrs.frozen
@@ -126,7 +128,12 @@
 
 @attrs.frozen
 class ConfigurationReply:
-    """The configuration in force at the sender, as the store holds it."""
+    """The configuration in force at the sender.
+
+    Attributes:
+        version: its number.
+        value: its bytes as the store holds them, compressed by zlib.
+    """
 
     version: int
     value: bytes
--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -17,10 +17,10 @@
 
 # Digests are exchanged this often, in seconds.
 ROUND_S: Final = 1.0
-# Peers asked in a round: in this region always, in another one sometimes,
-# since every byte there is paid for.
-NEAR_PEERS: Final = 2
-FAR_SHARE: Final = 0.3
+# Share of the rounds that ask a peer of another data centre or region as well;
+# every byte there is paid for.
+REGION_SHARE: Final = 0.5
+FAR_SHARE: Final = 0.2
 # A change is told to so many random peers by each host that learns of it;
 # three or four steps reach a hundred hosts.
 FANOUT: Final = 4
@@ -29,7 +29,7 @@
 
 _Row = tuple[int, int, int, int, int]
 _Record = tuple[
-    int, int, int, int, str, str, bool, str, int, str, int, int, bool
+    int, int, int, int, str, str, bool, str, int, str, int, int, bool, int
 ]
 _DIGEST: Final = 0
 _RECORDS: Final = 1
@@ -156,7 +156,7 @@
                 [_decode_row(row) for row in message.rows], now
             )
             if message.kind == _DIGEST:
-                self._answer_digest(peer, difference, now)
+                self._answer_digest(peer, difference)
             elif difference.wanted:
                 self._send(peer, _RECORDS, wanted=difference.wanted)
         if message.wanted:
@@ -173,12 +173,11 @@
         self,
         peer: model.Address,
         difference: directory.DigestDifference,
-        now: float,
     ) -> None:
         self._send(
             peer,
             _RECORDS,
-            rows=self._table.make_digest(now),
+            rows=difference.newer_beats,
             records=difference.newer_here[:MAX_RECORDS],
             wanted=difference.wanted,
         )
@@ -193,14 +192,22 @@
         table.beat += 1
         now = self._reactor.seconds()
         table.drop_silent(now)
-        region = table.own.place.region
+        place = table.own.place
         live = table.list_live(now)
-        near = [item for item in live if item.place.region == region]
-        far = [item for item in live if item.place.region != region]
-        for record in self._rng.sample(near, min(NEAR_PEERS, len(near))):
-            self._send_digest(record.address)
-        if far and (not near or self._rng.random() < FAR_SHARE):
-            self._send_digest(self._rng.choice(far).address)
+        near = [item for item in live if item.place == place]
+        region = [
+            item
+            for item in live
+            if item.place.region == place.region and item.place != place
+        ]
+        far = [item for item in live if item.place.region != place.region]
+        for peers, share in (
+            (near, 1.0),
+            (region, REGION_SHARE if near else 1.0),
+            (far, FAR_SHARE if near or region else 1.0),
+        ):
+            if peers and self._rng.random() < share:
+                self._send_digest(self._rng.choice(peers).address)
         self._events.on_records()
 
     def _send_digest(self, address: model.Address) -> None:
@@ -269,6 +276,7 @@
         target.slots if target else 0,
         int(target.state) if target else 0,
         record.has_store,
+        record.link_kbps,
     )
 
 
@@ -286,4 +294,5 @@
         row[6],
         target,
         row[12],
+        row[13],
     )
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -31,6 +31,8 @@
 # What a target may answer that would tell a caller that nothing has run.
 PROMISE_STATUSES: Final = frozenset((408, 421, 429, 503))
 
+MICROSECONDS: Final = 1_000_000
+
 AnswerFunction = Callable[[frames.Answer], None]
 ChunkFunction = Callable[[frames.Chunk], None]
 AttemptEnd = outcomes.AttemptEnd
@@ -346,9 +348,15 @@
                 -1 if answer.length is None else answer.length,
                 answer.more,
                 self.backlog.busy,
-                int(spent_s * 1_000_000),
+                int(spent_s * MICROSECONDS),
                 0,
                 kept.target_id,
+                int(
+                    (kept.ticket.started_at - kept.ticket.offered_at)
+                    * MICROSECONDS
+                )
+                if kept.ticket.started_at is not None
+                else 0,
             )
         )
 
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -109,6 +109,7 @@
             False,
             None,
             False,
+            settings.link_kbps,
         )
         self._table = directory.Directory(own)
         self._remote = remote.RemoteCalls(reactor, log)
--- a/libs/sidecar/src/filbertlift_sidecar/settings.py
+++ b/libs/sidecar/src/filbertlift_sidecar/settings.py
@@ -24,6 +24,7 @@
         store: HTTP address of the store.
         beat_interval_s: interval of the target's heartbeats, in seconds.
         grace_s: time between SIGTERM and SIGKILL, in seconds.
+        link_kbps: capacity of the host's link, in kilobits a second.
         repeat_ratio: repeats allowed for each call of a service.
         repeat_slack: repeats allowed in a window besides.
         repeat_window_s: length of the window, in seconds.
@@ -41,6 +42,7 @@
     store: model.Address
     beat_interval_s: float
     grace_s: float
+    link_kbps: int
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -10,6 +10,7 @@
 import random
 from typing import Any
 from typing import Final
+import zlib
 
 import attrs
 from twisted.internet import defer
@@ -47,6 +48,9 @@
 # How often a host that does not watch looks whether it should, in seconds.
 RECHECK_S: Final = 0.2
 
+# The store holds no longer values, in bytes.
+MAX_VALUE_BYTES: Final = 2_000_000
+
 DecodeFunction = Callable[[bytes], configuration.Configuration]
 
 
@@ -83,6 +87,7 @@
     rng: random.Random
     current: configuration.Configuration | None = None
     value: bytes = b""
+    _packed: bytes = b""
     _revision: int = 0
     _known_version: int = -1
     _rejected: bytes = b""
@@ -129,9 +134,17 @@
         """Takes a message of a peer about configurations."""
         if isinstance(message, frames.ConfigurationRequest):
             if self.version > message.after_version:
-                link.send(frames.ConfigurationReply(self.version, self.value))
+                link.send(frames.ConfigurationReply(self.version, self._packed))
         elif isinstance(message, frames.ConfigurationReply):
-            self._take(message.value, "peer")
+            self._receive_reply(message)
+
+    def _receive_reply(self, reply: frames.ConfigurationReply) -> None:
+        try:
+            value = unpack_value(reply.value)
+        except zlib.error as error:
+            self.log.log("versions.reply-malformed", error=error)
+            return
+        self._take(value, "peer")
 
     def _fetch_from_store(self) -> None:
         if self._known_version <= self.version or self._is_closed:
@@ -189,14 +202,14 @@
         if own.is_leaving:
             return False
         rivals = [
-            record.address
+            record
             for record in self.table.list_live(self.reactor.seconds())
             if record.place.region == own.place.region
             and record.has_store
             and not record.is_leaving
         ]
-        rank = _rank(own.address)
-        better = sum(1 for address in rivals if _rank(address) > rank)
+        rank = rank_watcher(own)
+        better = sum(1 for record in rivals if rank_watcher(record) > rank)
         return better < WATCHERS
 
     def _take_entry(self, entry: interface.Entry | None) -> bool:
@@ -232,6 +245,7 @@
         )
         self.current = found
         self.value = value
+        self._packed = zlib.compress(value)
         self.events.on_version(found)
         return True
 
@@ -241,9 +255,25 @@
         self.log.log("versions.fault", error=reason.getErrorMessage())
 
 
-def _rank(address: model.Address) -> int:
-    digest = hashlib.blake2b(str(address).encode(), digest_size=8).digest()
-    return int.from_bytes(digest)
+def rank_watcher(record: directory.HostRecord) -> tuple[int, int]:
+    """Returns the rank of a host as a watcher; the highest ones watch.
+
+    Watchers read every version from the store and hand it to others, so that
+    hosts with a wide link go first; among those the order is random, but the
+    same everywhere.
+    """
+    text = str(record.address).encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return record.link_kbps.bit_length(), int.from_bytes(digest)
+
+
+def unpack_value(data: bytes) -> bytes:
+    """Returns the bytes that a peer compressed; raises zlib.error."""
+    unpacker = zlib.decompressobj()
+    value = unpacker.decompress(data, MAX_VALUE_BYTES)
+    if unpacker.unconsumed_tail:
+        raise zlib.error(f"more than {MAX_VALUE_BYTES} bytes")
+    return value
 
 
 def _do_nothing() -> None:
