Log each refusal of a keeper, and leave the lines to requests in trouble

Cause: a failed request's id found no line at the keeper that refused it, and under load lines of answered calls took the place of those of failed ones.

Change: keeper.refused; answered calls are logged only while three quarters of the saved lines are left.

--- a/libs/sidecar/src/filbertlift_sidecar/eventlog.py
+++ b/libs/sidecar/src/filbertlift_sidecar/eventlog.py
@@ -18,6 +18,8 @@
 MAX_LINES_PER_S: Final = 40.0
 # Lines that a quiet time saves up for the next burst.
 MAX_BURST: Final = 80.0
+# Saved lines that requests without trouble leave to the others.
+ROUTINE_TOKENS: Final = 60.0
 STDOUT: Final = 1
 
 
@@ -58,11 +60,23 @@
 
     def log_request(self, event: str, **fields: Any) -> None:
         """Writes an event of one request unless there are too many."""
+        self._log_bounded(1.0, event, fields)
+
+    def log_routine(self, event: str, **fields: Any) -> None:
+        """Writes an event of a request that went well, with less right.
+
+        Under load the lines are left to the requests that did not.
+        """
+        self._log_bounded(ROUTINE_TOKENS, event, fields)
+
+    def _log_bounded(
+        self, needed: float, event: str, fields: dict[str, Any]
+    ) -> None:
         now = self.read_time()
         spent = now - self._updated
         self._updated = now
         self._tokens = min(MAX_BURST, self._tokens + spent * MAX_LINES_PER_S)
-        if self._tokens < 1.0:
+        if self._tokens < needed:
             self.suppressed += 1
             self.total_suppressed += 1
             return
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -390,7 +390,7 @@
         spent_s = self._now() - self.started_at
         self.entry.metrics.note_call(reason, status, spent_s)
         if 200 <= status < 500:
-            self.entry.events.log_request(
+            self.entry.events.log_routine(
                 "entry.answered",
                 id=self.entry.find_id(self.request),
                 status=status,
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -303,6 +303,18 @@
         self, kept: KeptCall, reason: str, retry_after_s: float
     ) -> None:
         self.refused += 1
+        if not kept.is_over:
+            self.events.log_request(
+                "keeper.refused",
+                id=kept.call.request_id,
+                reason=reason,
+                service=kept.call.service,
+                running=len(self._running),
+                waiting=len(self._waiting),
+                slots=self.backlog.slots,
+                left_s=kept.ticket.deadline - self.reactor.seconds(),
+                retry_after_s=retry_after_s,
+            )
         self._report(kept, AttemptEnd.NOT_RUN, reason, retry_after_s)
 
     def _report(
