--- a/libs/calls/tests/test_codes.py
+++ b/libs/calls/tests/test_codes.py
@@ -6,7 +6,7 @@
 from filbertlift_calls import codes
 
 ROOT = pathlib.Path(__file__).parents[3]
-PAGE = ROOT / "docs" / "operations.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 _CODE = re.compile(r"\"(FL-[A-Z-]+)\"")
 
 
--- a/libs/cli/tests/test_settings.py
+++ b/libs/cli/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 from filbertlift_cli import settings
 
-PAGE = pathlib.Path(__file__).parents[3] / "docs" / "operations.md"
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 
 
 def test_page_describes_every_setting() -> None:
--- a/libs/node/tests/test_settings.py
+++ b/libs/node/tests/test_settings.py
@@ -13,7 +13,7 @@
 from filbertlift_node import settings
 
 ROOT = pathlib.Path(__file__).parents[3]
-PAGE = ROOT / "docs" / "operations.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 _EVENT = re.compile(r"log_event\(\s*\"([a-z._-]+)\"")
 GOOD = {
     "region": "north-is",
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -341,6 +341,7 @@
         )
 
     def _fail(self, status: int, reason: str) -> None:
+        asked = ",".join(str(item.view.address) for item in self._attempts)
         self._end(reason, status)
         self.entry.events.log_request(
             "entry.failed",
@@ -350,6 +351,7 @@
             service=self.service,
             version=self.version,
             sent=self.sent,
+            outstanding=asked,
             waited_s=self._now() - self.started_at,
         )
         self.entry.answer(self.reply, self.request, status, reason)
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -124,6 +124,15 @@
         if kept.is_over:
             return
         kept.is_over = True
+        now = self.reactor.seconds()
+        self.events.log_request(
+            "keeper.withdrawn",
+            id=kept.call.request_id,
+            target=kept.target_id,
+            ran=kept.ticket.started_at is not None,
+            age_s=now - kept.ticket.offered_at,
+            stops=kept.call.is_idempotent,
+        )
         if self.backlog.withdraw(kept.ticket):
             del self._waiting[kept.ticket]
             return
