--- a/libs/sidecar/src/filbertlift_sidecar/exceptions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exceptions.py
@@ -13,9 +13,3 @@
     """A peer sent bytes that are no message of the protocol."""
 
     code = "FL-SIDECAR-FRAME"
-
-
-class AnnouncementError(SidecarError):
-    """A target's announcement cannot be read."""
-
-    code = "FL-SIDECAR-ANNOUNCEMENT"
