--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -24,6 +24,8 @@
 # A change is told to so many random peers by each host that learns of it;
 # three or four steps reach a hundred hosts.
 FANOUT: Final = 4
+# Hosts that a starting one asks for their records.
+GREETED: Final = 3
 # Records in one datagram, so that it stays well below 64 KB.
 MAX_RECORDS: Final = 200
 
@@ -103,10 +105,18 @@
         if self._port is not None:
             self._port.stopListening()
 
-    def greet(self, address: model.Address) -> None:
-        """Tells a host of this one and asks for what it knows."""
-        self._send(address, _RECORDS, records=[self._table.own])
-        self._send_digest(address)
+    def greet(self, addresses: list[model.Address]) -> None:
+        """Tells hosts of this one and asks a few for what they know.
+
+        All of them would answer with the same records, more than a narrow
+        link takes in a second.
+        """
+        for address in addresses:
+            self._send(address, _RECORDS, records=[self._table.own])
+        for address in self._rng.sample(
+            addresses, min(GREETED, len(addresses))
+        ):
+            self._send_digest(address)
 
     def announce(self) -> None:
         """Tells every live host of a change of this one."""
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -112,7 +112,7 @@
             settings.link_kbps,
         )
         self._table = directory.Directory(own)
-        self._remote = remote.RemoteCalls(reactor, log)
+        self._remote = remote.RemoteCalls(reactor, log, self._suspect_host)
         pool = exchange.TargetPool(reactor, settings.target, adapter.dialect)
         self._pool = pool
         self._keeper = keeper.Keeper(reactor, self._target, pool, log)
@@ -134,6 +134,7 @@
             versions.VersionEvents(self._put_in_force, self._note_store),
             log,
             rng,
+            lambda: self._registry.is_listed,
         )
         self._remote.on_message = self._versions.receive
         self._registry = registry.Registry(
@@ -141,6 +142,7 @@
             store,
             self._table,
             self._gossip.greet,
+            self._note_store,
             self._restore_departure,
             log,
             rng,
@@ -151,7 +153,11 @@
         self._listener = peerlink.LinkListener(
             reactor,
             settings.peers,
-            peerlink.LinkEvents(self._inbound.receive, self._inbound.lose_link),
+            peerlink.LinkEvents(
+                self._inbound.receive,
+                self._inbound.lose_link,
+                lambda _link: None,
+            ),
         )
         self.entry = self._make_entry(rng)
         self._control = control.Control(
@@ -275,6 +281,9 @@
             self._callers.limits = _make_limits(version.limits)
         self._gossip.tell_version()
 
+    def _suspect_host(self, address: model.Address) -> None:
+        self.entry.placement.avoid(address, self._reactor.seconds())
+
     def _learn_version(self, peer: model.Address, version: int) -> None:
         self._versions.learn(peer, version)
 
--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -18,12 +18,14 @@
 from filbertlift_sidecar import sockets
 from filbertlift_transport import outputs
 
-CONNECT_TIMEOUT_S: Final = 0.4
-# A link with calls outstanding that is silent for this long is probed, and
-# given up after the limit, in seconds. The longest way there and back is 40 ms;
-# the rest is for a busy host.
+CONNECT_TIMEOUT_S: Final = 0.5
+# A link with calls outstanding that is silent for this long is probed, after
+# twice as long its host gets no new calls, and after the limit it is given up,
+# in seconds. The longest way there and back is 40 ms; the rest is for a busy
+# host and a full link. Giving up costs the calls that may not be repeated.
 PROBE_S: Final = 0.3
-SILENCE_LIMIT_S: Final = 1.0
+SUSPECT_S: Final = 0.6
+SILENCE_LIMIT_S: Final = 2.0
 # Links without a call are closed after this time, in seconds.
 IDLE_LIMIT_S: Final = 20.0
 # A peer that does not read is given up when so much is unsent.
@@ -37,10 +39,12 @@
     Attributes:
         on_message: a message other than pings and pongs arrived.
         on_down: the link is closed, and why; called once.
+        on_suspect: nothing was heard for `SUSPECT_S` while calls are out.
     """
 
     on_message: Callable[["PeerLink", frames.Message], None]
     on_down: Callable[["PeerLink", str], None]
+    on_suspect: Callable[["PeerLink"], None]
 
 
 class PeerLink(protocol.Protocol):
@@ -172,6 +176,8 @@
         if quiet >= SILENCE_LIMIT_S:
             self.close(f"silent for {quiet:.1f} s")
             return
+        if quiet >= SUSPECT_S:
+            self._events.on_suspect(self)
         if quiet >= PROBE_S:
             self.send(frames.Ping(0))
         self._set_probe()
@@ -205,7 +211,9 @@
         self.links: set[PeerLink] = set()
         self._reactor = reactor
         self._address = address
-        self._events = LinkEvents(events.on_message, self._take_down)
+        self._events = LinkEvents(
+            events.on_message, self._take_down, events.on_suspect
+        )
         self._on_down = events.on_down
         self._port: Any = None
 
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -41,7 +41,8 @@
     reactor: Any
     store: interface.Store
     table: directory.Directory
-    greet: Callable[[model.Address], None]
+    greet: Callable[[list[model.Address]], None]
+    on_store: Callable[[bool], None]
     restore: Callable[[bytes], None]
     log: eventlog.EventLog
     rng: random.Random
@@ -106,13 +107,17 @@
         assert self.store.list_prefix is not None
         is_first = not self.is_listed
         entries = await self.store.list_prefix(ROOT)
+        self.on_store(True)
+        addresses = [_read_address(key) for key in entries]
+        self.greet(
+            [
+                address
+                for address in addresses
+                if address is not None
+                and self.table.find_record(address) is None
+            ]
+        )
         self.is_listed = True
-        for key in entries:
-            address = _read_address(key)
-            if address is None or address == self.table.own.address:
-                continue
-            if self.table.find_record(address) is None:
-                self.greet(address)
         left = entries.get(LEFT_PREFIX + str(self.table.own.address))
         if is_first and left is not None:
             self.restore(left.value)
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -1,5 +1,6 @@
 """Calls that this node sends to keepers beside other targets."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import Final
 
@@ -38,10 +39,17 @@
 
 @attrs.define(eq=False)
 class RemoteCalls:
-    """Links dialled by this node and the calls on them."""
+    """Links dialled by this node and the calls on them.
+
+    Attributes:
+        on_suspect: a host with calls outstanding has been silent for a while.
+        on_message: takes messages that are not about calls.
+        links: the open links by peer and lane.
+    """
 
     reactor: Any
     events: eventlog.EventLog
+    on_suspect: Callable[[model.Address], None]
     on_message: Any = None
     links: dict[Lane, peerlink.PeerLink] = attrs.field(factory=dict)
     _calls: dict[int, RemoteCall] = attrs.field(factory=dict)
@@ -77,7 +85,9 @@
         link = self.links.get((address, lane))
         if link is not None and not link.is_closed:
             return link
-        events = peerlink.LinkEvents(self._receive, self._take_down)
+        events = peerlink.LinkEvents(
+            self._receive, self._take_down, self._suspect
+        )
         link = peerlink.PeerLink(self.reactor, events, address)
         self.links[(address, lane)] = link
         link.connect()
@@ -127,6 +137,10 @@
         del self._calls[remote.stream]
         remote.link.note_end()
 
+    def _suspect(self, link: peerlink.PeerLink) -> None:
+        if link.address is not None:
+            self.on_suspect(link.address)
+
     def _take_down(self, link: peerlink.PeerLink, reason: str) -> None:
         for lane, held in list(self.links.items()):
             if held is link:
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -33,10 +33,15 @@
 # silent, so this bounds how long that stays unnoticed; meanwhile the other
 # watchers tell of a change.
 WATCH_S: Final = 4.0
+# A starting host first learns who the watchers are, for this long at most, in
+# seconds, since reading the configuration everywhere at once chokes the links
+# between regions.
+ORIENT_S: Final = 1.5
+SETTLE_S: Final = 0.3
 # Before the first configuration the key is read this often, in seconds, by
 # the watchers, and by the other hosts in case no peer tells them.
 FIRST_READ_S: Final = 1.0
-OTHER_FIRST_READ_S: Final = 3.0
+OTHER_FIRST_READ_S: Final = 2.0
 # Changes that follow one another within this time are read together.
 COALESCE_S: Final = 0.4
 # Failed calls to the store are repeated after this, in seconds, doubling.
@@ -74,6 +79,7 @@
     Attributes:
         current: the version in force, None before the first.
         value: its bytes, as the store holds them.
+        is_listed: whether this host has read who the others are.
     """
 
     reactor: Any
@@ -85,6 +91,7 @@
     events: VersionEvents
     log: eventlog.EventLog
     rng: random.Random
+    is_listed: Callable[[], bool]
     current: configuration.Configuration | None = None
     value: bytes = b""
     _packed: bytes = b""
@@ -162,6 +169,7 @@
 
     async def _watch(self) -> None:
         pause_s = FIRST_PAUSE_S
+        await self._orient()
         while not self._is_closed:
             if self.current is not None and not self._is_watcher():
                 await self._pause(RECHECK_S)
@@ -181,6 +189,14 @@
             elif self.current is None:
                 await self._wait_for_first()
 
+    async def _orient(self) -> None:
+        until = self.reactor.seconds() + ORIENT_S
+        while not self.is_listed() and self.reactor.seconds() < until:
+            await self._pause(SETTLE_S / 3)
+        await self._pause(SETTLE_S)
+        if not self._is_watcher():
+            await self._wait_for_first()
+
     async def _wait_for_first(self) -> None:
         """Waits before the next read; ends when a peer had a version."""
         limit = FIRST_READ_S if self._is_watcher() else OTHER_FIRST_READ_S
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -26,7 +26,10 @@
     def __init__(self):
         self.reactor = testing.MemoryReactorClock()
         log = eventlog.EventLog(self.reactor.seconds, lambda _data: True)
-        self.calls = remote.RemoteCalls(self.reactor, log)
+        self.suspected = []
+        self.calls = remote.RemoteCalls(
+            self.reactor, log, self.suspected.append
+        )
         self.answers = []
         self.chunks = []
 
@@ -89,6 +92,8 @@
     """Guards against calls that wait for their deadline on a dead link."""
     bench.submit()
     link = bench.open()
+    bench.reactor.pump([0.1] * 10)
+    assert bench.suspected and not link.is_closed
     bench.reactor.pump([0.1] * 14)
     assert link.is_closed
     assert [a.end for a in bench.answers] == [AttemptEnd.BROKEN]
