--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -195,7 +195,6 @@
         if not self.entry.budget.take(self.service, now):
             return
         first = self._attempts[0]
-        first.view.note_result(True, now)
         self.entry.events.log_request(
             "entry.hedge",
             id=self.entry.find_id(self.request),
@@ -222,6 +221,10 @@
         if self._attempts and end is not AttemptEnd.ANSWERED:
             # The other attempt may still be answered.
             return
+        if attempt.is_hedge and end is AttemptEnd.ANSWERED:
+            # The first target was overtaken: it is slow, or silent for good.
+            for other in self._attempts:
+                other.view.note_result(True, now)
         progress = outcomes.CallProgress(
             self.route, self.sent, self.refusals, self.deadline - now
         )
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -307,3 +307,15 @@
     assert reply.sent[0][0] == 503
     assert reply.closes
     assert bench.remote.calls == []
+
+
+def test_a_target_that_a_hedge_overtook_gets_less(bench):
+    """Guards against a target that fell silent and still gets its share."""
+    bench.call()
+    bench.clock.advance(0.5)
+    silent = bench.remote.calls[0][0]
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200)
+    views = bench.entry.placement.views["a"]
+    now = bench.clock.seconds()
+    assert views[silent].get_failure(now) > 0
+    assert [views[a].get_failure(now) for a in views if a != silent] == [0]
