--- /dev/null
+++ b/libs/sidecar/tests/test_versions.py
@@ -0,0 +1,210 @@
+"""Tests of the configuration in force and its sources."""
+
+import random
+import zlib
+
+import attrs
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_mesh import configuration
+from filbertlift_mesh import directory
+from filbertlift_mesh import exceptions
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import frames
+from filbertlift_sidecar import versions
+from filbertlift_store import exceptions as store_exceptions
+from filbertlift_store import interface
+
+PLACE = model.Place("north", "n-1")
+LIMITS = configuration.ClientLimits()
+
+
+def decode(value):
+    """Reads a version from text such as `7`."""
+    if not value.isdigit():
+        raise exceptions.ConfigurationError("not complete")
+    return configuration.Configuration.from_routes(int(value), (), {}, LIMITS)
+
+
+def make_record(number, link_kbps=1_000_000, place=PLACE, has_store=True):
+    return directory.HostRecord(
+        model.Address(f"10.0.0.{number}", 7000),
+        1,
+        0,
+        place,
+        False,
+        None,
+        has_store,
+        link_kbps,
+    )
+
+
+class FakeLink:
+    """Keeps the messages sent on it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+class Bench:
+    """Versions of a host, with a store that the test answers."""
+
+    def __init__(self, *others, own=None):
+        self.clock = task.Clock()
+        self.table = directory.Directory(own or make_record(1))
+        self.table.merge_records(others, 0.0)
+        self.reads = []
+        self.in_force = []
+        self.store_answers = []
+        self.link = FakeLink()
+        store = interface.Store(
+            **dict.fromkeys(
+                (f.name for f in attrs.fields(interface.Store)), None
+            )
+        )
+        store = attrs.evolve(
+            store,
+            get=lambda key: self.read(("get", key)),
+            watch=lambda key, after, _wait: self.read(("watch", key, after)),
+        )
+        self.versions = versions.Versions(
+            self.clock,
+            store,
+            "key",
+            decode,
+            self.table,
+            self,
+            versions.VersionEvents(
+                self.in_force.append, self.store_answers.append
+            ),
+            eventlog.EventLog(self.clock.seconds, lambda _data: True),
+            random.Random(1),
+            lambda: True,
+        )
+
+    def find_link(self, _address, _lane):
+        return self.link
+
+    def read(self, what):
+        deferred = defer.Deferred()
+        self.reads.append((what, deferred))
+        return deferred
+
+    def answer(self, value, revision):
+        self.reads[-1][1].callback(interface.Entry(value, revision))
+
+    def wait(self, seconds):
+        self.clock.pump([0.05] * round(seconds / 0.05))
+
+    @property
+    def numbers(self):
+        return [version.version for version in self.in_force]
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    made.versions.start()
+    made.wait(0.5)
+    return made
+
+
+def test_the_newest_version_is_read_and_then_watched(bench):
+    bench.answer(b"5", 10)
+    bench.wait(0.5)
+    assert bench.numbers == [5]
+    assert bench.reads[-1][0] == ("watch", "key", 10)
+    bench.answer(b"9", 11)
+    assert bench.numbers == [5, 9]
+
+
+def test_an_older_version_is_never_put_in_force(bench):
+    """Guards against a return to a version that was replaced."""
+    bench.answer(b"5", 10)
+    bench.wait(0.5)
+    bench.answer(b"4", 11)
+    bench.versions.receive(
+        None, frames.ConfigurationReply(3, zlib.compress(b"3"))
+    )
+    assert bench.numbers == [5]
+
+
+def test_a_version_that_is_not_complete_leaves_the_one_in_force(bench):
+    """Guards against a version that is applied in part."""
+    bench.answer(b"5", 10)
+    bench.wait(0.5)
+    bench.answer(b"cut sh", 11)
+    bench.wait(0.5)
+    assert bench.versions.version == 5
+    bench.answer(b"6", 12)
+    assert bench.numbers == [5, 6]
+
+
+def test_a_host_that_the_store_refuses_says_so_and_tries_again(bench):
+    bench.reads[-1][1].errback(store_exceptions.StoreUnavailable("503"))
+    assert bench.store_answers == [False]
+    bench.wait(1.0)
+    assert len(bench.reads) == 2
+
+
+def test_two_hosts_of_a_region_watch():
+    records = [make_record(number) for number in range(2, 9)]
+    ranked = sorted(records, key=versions.rank_watcher)
+    for record in records:
+        others = [other for other in records if other is not record]
+        made = Bench(*others, own=record)
+        made.versions.start()
+        made.wait(0.5)
+        assert bool(made.reads) == (record in ranked[-2:])
+
+
+def test_hosts_with_a_wide_link_watch_first():
+    """Guards against versions that wait on a narrow link."""
+    narrow = make_record(1, link_kbps=7_000)
+    wide = [make_record(n, link_kbps=140_000) for n in (2, 3)]
+    made = Bench(*wide, own=narrow)
+    made.versions.start()
+    made.wait(1.0)
+    assert made.reads == []
+
+
+def test_a_host_watches_when_the_store_refuses_the_others():
+    """Guards against a region in which nobody hears of a version."""
+    narrow = make_record(1, link_kbps=7_000)
+    wide = [make_record(n, 140_000, has_store=False) for n in (2, 3)]
+    made = Bench(*wide, own=narrow)
+    made.versions.start()
+    made.wait(0.5)
+    assert made.reads
+
+
+def test_a_peer_hands_over_what_it_has_in_force(bench):
+    bench.answer(b"5", 10)
+    bench.versions.receive(bench.link, frames.ConfigurationRequest(4))
+    (reply,) = bench.link.sent
+    assert versions.unpack_value(reply.value) == b"5"
+    bench.versions.receive(bench.link, frames.ConfigurationRequest(5))
+    assert len(bench.link.sent) == 1
+
+
+def test_a_known_version_is_fetched_from_a_peer_and_else_the_store():
+    wide = [make_record(n, link_kbps=140_000) for n in (2, 3)]
+    made = Bench(*wide, own=make_record(1, link_kbps=7_000))
+    made.versions.learn(wide[0].address, 7)
+    assert made.link.sent == [frames.ConfigurationRequest(-1)]
+    made.wait(versions.PEER_S + 0.1)
+    assert made.reads[-1][0] == ("get", "key")
+    made.answer(b"7", 10)
+    assert made.numbers == [7]
+
+
+def test_a_reply_that_cannot_be_read_is_left_aside(bench):
+    for value in (b"no zlib", zlib.compress(b"0" * 3_000_000)):
+        bench.versions.receive(None, frames.ConfigurationReply(9, value))
+    assert bench.in_force == []
