Ask hosts that fell silent, so that a partition ends on both sides

Cause: found by reading: after more than 8 s apart both sides drop each other from the live list, nobody asks the other again, and the list in the store is read again after 200 s only, leaving out hosts that are known though silent.

Change: every second round or so asks a silent host; records are kept for ten minutes; a host without live peers greets all that are listed. Host names of routes are compared without case. test_gossip.py plays both partitions; both fail without the change.

--- a/libs/mesh/src/filbertlift_mesh/configuration.py
+++ b/libs/mesh/src/filbertlift_mesh/configuration.py
@@ -117,7 +117,7 @@
         table: dict[str, dict[str, Route]] = {}
         for route in routes:
             _check_route(route, services)
-            prefixes = table.setdefault(route.hostname, {})
+            prefixes = table.setdefault(route.hostname.lower(), {})
             if route.prefix in prefixes:
                 raise exceptions.ConfigurationError(
                     f"routes {prefixes[route.prefix].name} and {route.name}"
@@ -128,7 +128,7 @@
 
     def find_route(self, hostname: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins the path."""
-        prefixes = self.routes.get(hostname)
+        prefixes = self.routes.get(hostname.lower())
         if prefixes is None:
             return None
         plain = path.partition("?")[0]
--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -15,8 +15,9 @@
 
 # Heartbeats are counted once a second and take a few rounds to spread.
 SILENT_S: Final = 8.0
-# A silent host is forgotten after this; a live one announces itself again.
-FORGET_S: Final = 60.0
+# A silent host is forgotten after this. Until then it is asked now and then,
+# since a partition makes hosts on both sides silent and ends without a word.
+FORGET_S: Final = 600.0
 
 
 class TargetState(enum.IntEnum):
@@ -227,6 +228,14 @@
             if now - entry.heard_at <= SILENT_S
         ]
 
+    def list_silent(self, now: float) -> list[HostRecord]:
+        """Returns the records of the other hosts that are silent."""
+        return [
+            entry.record
+            for entry in self._entries.values()
+            if now - entry.heard_at > SILENT_S
+        ]
+
     def drop_silent(self, now: float) -> None:
         """Forgets hosts that have been silent for long."""
         for address, entry in list(self._entries.items()):
--- a/libs/mesh/tests/test_configuration.py
+++ b/libs/mesh/tests/test_configuration.py
@@ -92,3 +92,7 @@
     changed = make_route(shares=(("b", 1.0),))
     counter.keep_routes(make_configuration(changed))
     assert counter.choose_service(changed) == "b"
+
+
+def test_host_names_are_compared_without_case():
+    assert make_configuration(make_route()).find_route("H.Example", "/x/")
--- a/libs/mesh/tests/test_directory.py
+++ b/libs/mesh/tests/test_directory.py
@@ -106,3 +106,16 @@
     assert not table.update_own(attrs.evolve(table.own))
     assert table.update_own(attrs.evolve(table.own, is_leaving=True))
     assert table.own.revision == 1
+
+
+def test_a_silent_host_is_kept_for_a_while_to_be_asked():
+    """Guards against two regions that stay apart after a partition."""
+    table = directory.Directory(make_record(1))
+    other = make_record(2)
+    table.merge_records([other], 0.0)
+    table.drop_silent(120.0)
+    assert table.list_silent(120.0) == [other]
+    table.note_heard(other.address, 120.0)
+    assert table.list_live(120.0) == [other]
+    table.drop_silent(120.0 + directory.FORGET_S + 1.0)
+    assert table.find_record(other.address) is None
--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -21,6 +21,8 @@
 # every byte there is paid for.
 REGION_SHARE: Final = 0.5
 FAR_SHARE: Final = 0.2
+# Share of the rounds that ask a host that fell silent.
+SILENT_SHARE: Final = 0.5
 # A change is told to so many random peers by each host that learns of it;
 # three or four steps reach a hundred hosts.
 FANOUT: Final = 4
@@ -215,6 +217,7 @@
             (near, 1.0),
             (region, REGION_SHARE if near else 1.0),
             (far, FAR_SHARE if near or region else 1.0),
+            (table.list_silent(now), SILENT_SHARE if live else 1.0),
         ):
             if peers and self._rng.random() < share:
                 self._send_digest(self._rng.choice(peers).address)
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -99,7 +99,7 @@
         self._lease = lease
 
     async def _list(self) -> None:
-        """Greets the listed hosts that are not known yet.
+        """Greets the listed hosts that are not known to be alive.
 
         The own entry was written before, so of two hosts that start together
         at least one finds the other.
@@ -108,13 +108,14 @@
         is_first = not self.is_listed
         entries = await self.store.list_prefix(ROOT)
         self.on_store(True)
+        live = self.table.list_live(self.reactor.seconds())
+        known = {self.table.own.address, *(item.address for item in live)}
         addresses = [_read_address(key) for key in entries]
         self.greet(
             [
                 address
                 for address in addresses
-                if address is not None
-                and self.table.find_record(address) is None
+                if address is not None and address not in known
             ]
         )
         self.is_listed = True
--- /dev/null
+++ b/libs/sidecar/tests/test_gossip.py
@@ -0,0 +1,146 @@
+"""Tests of gossip among some hosts in memory."""
+
+import random
+
+import attrs
+import pytest
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_mesh import directory
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import gossip
+
+
+class Network:
+    """Hosts that exchange datagrams; some pairs may be cut."""
+
+    def __init__(self, places):
+        self.clock = task.Clock()
+        self.cut = set()
+        self.versions = {}
+        self.heard = []
+        self.hosts = {}
+        for number, place in enumerate(places, 1):
+            self.add(number, place)
+
+    def add(self, number, place):
+        address = model.Address(f"10.0.0.{number}", 7000)
+        record = directory.HostRecord(address, 1, 0, place, False, None, False)
+        host = gossip.Gossip(
+            self.clock,
+            directory.Directory(record),
+            gossip.GossipEvents(
+                lambda: None,
+                lambda _peer, version: self.heard.append((number, version)),
+            ),
+            eventlog.EventLog(self.clock.seconds, lambda _data: True),
+            random.Random(number),
+            lambda: self.versions.get(number, -1),
+        )
+        host.transport = self.make_transport(number)
+        self.hosts[number] = host
+
+    def make_transport(self, number):
+        network = self
+
+        class Transport:
+            """Delivers a datagram at once, unless the pair is cut."""
+
+            def write(self, data, addr):
+                other = int(addr[0].rpartition(".")[2])
+                if frozenset((number, other)) in network.cut:
+                    return
+                network.clock.callLater(
+                    0.01,
+                    network.hosts[other].datagramReceived,
+                    data,
+                    (f"10.0.0.{number}", 7000),
+                )
+
+        return Transport()
+
+    def start(self):
+        for host in self.hosts.values():
+            host._set_round()
+        first = self.hosts[1]._table.own.address
+        for number in list(self.hosts)[1:]:
+            self.hosts[number].greet([first])
+
+    def run(self, seconds):
+        self.clock.pump([0.1] * round(seconds * 10))
+
+    def count_live(self, number):
+        now = self.clock.seconds()
+        return len(self.hosts[number]._table.list_live(now))
+
+
+NORTH = [model.Place("north", f"n-{number % 2}") for number in range(4)]
+SOUTH = [model.Place("south", f"s-{number % 2}") for number in range(4)]
+
+
+@pytest.fixture
+def network():
+    made = Network(NORTH + SOUTH)
+    made.start()
+    made.run(10)
+    return made
+
+
+def test_all_hosts_learn_of_one_another(network):
+    assert {network.count_live(n) for n in network.hosts} == {7}
+
+
+def test_heartbeats_keep_everyone_alive(network):
+    network.run(60)
+    assert {network.count_live(n) for n in network.hosts} == {7}
+
+
+def test_a_change_reaches_everyone_at_once(network):
+    host = network.hosts[3]
+    host._table.update_own(attrs.evolve(host._table.own, is_leaving=True))
+    host.announce()
+    network.run(0.2)
+    for number in network.hosts:
+        record = network.hosts[number]._table.find_record(
+            host._table.own.address
+        )
+        assert record.is_leaving
+
+
+def test_regions_find_each_other_after_a_partition(network):
+    """Guards against regions that stay apart when the partition is over."""
+    pairs = {frozenset((n, s)) for n in range(1, 5) for s in range(5, 9)}
+    network.cut = pairs
+    network.run(30)
+    assert {network.count_live(n) for n in network.hosts} == {3}
+    network.cut = set()
+    network.run(15)
+    assert {network.count_live(n) for n in network.hosts} == {7}
+
+
+def test_a_host_that_was_cut_off_comes_back(network):
+    network.cut = {frozenset((1, n)) for n in range(2, 9)}
+    network.run(30)
+    assert network.count_live(1) == 0
+    network.cut = set()
+    network.run(15)
+    assert {network.count_live(n) for n in network.hosts} == {7}
+
+
+def test_a_newer_version_is_heard_of_in_every_region(network):
+    network.versions = dict.fromkeys(network.hosts, 4)
+    network.versions[1] = 5
+    network.hosts[1].tell_version()
+    network.run(20)
+    assert {number for number, version in network.heard if version == 5} >= {
+        2,
+        3,
+        4,
+    }
+
+
+@pytest.mark.parametrize("data", [b"", b"x", b"\x95\x01", b"\xff" * 99])
+def test_a_datagram_that_cannot_be_read_changes_nothing(network, data):
+    network.hosts[1].datagramReceived(data, ("10.0.0.2", 7000))
+    assert network.count_live(1) == 7
