Tell a publisher of a section that others added and removed

Change: the entry stays, without a hash, until the version of the removal leaves the history; deltas name removals with their version and the entries that are dropped.

--- a/libs/cli/src/filbertlift_cli/base.py
+++ b/libs/cli/src/filbertlift_cli/base.py
@@ -70,9 +70,7 @@
     for name, row in rows.items():
         if not isinstance(row, list) or len(row) != 2:
             raise exceptions.SnapshotError(f"{name!r} has no hash and version")
-        entries[scalars.check_name(name)] = paging.Entry(
-            scalars.check_hash(row[0]), scalars.check_version(row[1])
-        )
+        entries[scalars.check_name(name)] = paging.make_entry(row[0], row[1])
     return entries
 
 
@@ -118,7 +116,8 @@
     entries = dict(base.entries)
     for name, section in wanted.items():
         if section is None:
-            entries.pop(name, None)
+            if base.get_hash(name) is not None:
+                entries[name] = paging.Entry(paging.REMOVED, version)
             continue
         digest = codec.hash_bytes(codec.encode_section(section))
         if base.get_hash(name) != digest:
--- a/libs/cli/src/filbertlift_cli/intent.py
+++ b/libs/cli/src/filbertlift_cli/intent.py
@@ -93,7 +93,7 @@
     tree: trees.Tree, scope: Scope, base: planning.Base
 ) -> Collection[str]:
     stated = tree.sections.keys() | scope.remove
-    return sorted(base.entries.keys() - stated)
+    return sorted(base.list_names() - stated)
 
 
 def _make_problem(name: str, reason: str) -> file.Problem:
--- a/libs/config/src/filbertlift_config/delta.py
+++ b/libs/config/src/filbertlift_config/delta.py
@@ -30,14 +30,16 @@
         base_root: root of that version.
         records: history after the base, at most 64 lines, the target last.
         changed: new section by name.
-        removed: names of removed sections.
+        removed: versions in which sections were removed, by name.
+        forgotten: removed sections whose entries were dropped.
     """
 
     base_version: int
     base_root: str
     records: tuple[heads.VersionRecord, ...]
     changed: Mapping[str, paging.Change]
-    removed: tuple[str, ...]
+    removed: Mapping[str, int]
+    forgotten: tuple[str, ...] = ()
 
     @property
     def version(self) -> int:
@@ -59,21 +61,31 @@
     if new.version <= old.version:
         raise exceptions.SnapshotError("a delta leads to a newer version")
     changed: dict[str, paging.Change] = {}
-    removed: list[str] = []
+    removed: dict[str, int] = {}
+    forgotten: list[str] = []
     for before, after in zip(old.pages, new.pages, strict=True):
         if before.hash == after.hash:
             continue
-        removed += [
+        forgotten += [
             name for name in before.entries if name not in after.entries
         ]
         for name, entry in after.entries.items():
-            if before.entries.get(name) != entry:
+            if before.entries.get(name) == entry:
+                continue
+            if entry.is_removed:
+                removed[name] = entry.version
+            else:
                 changed[name] = _make_change(entry, new.sections[name])
     records = tuple(
         record for record in new.head.history if record.version > old.version
     )
     return Delta(
-        old.version, old.root, records, changed, tuple(sorted(removed))
+        old.version,
+        old.root,
+        records,
+        changed,
+        removed,
+        tuple(sorted(forgotten)),
     )
 
 
@@ -95,12 +107,15 @@
         raise exceptions.SnapshotError("the delta is for another base")
     if not delta.records or delta.version <= old.version:
         raise exceptions.SnapshotError("the delta leads to no newer version")
-    pages = paging.replace_sections(old.pages, delta.changed, delta.removed)
+    pages = paging.replace_sections(
+        old.pages, delta.changed, delta.removed, delta.forgotten
+    )
     hashes = tuple(page.hash for page in pages)
     # The head takes the root that the delta states, and the verification
     # compares it with the pages.
     head = heads.make_head(old.head, hashes, delta.records)
-    merged = snapshots.merge(old.sections, delta.changed, delta.removed)
+    gone = (*delta.removed, *delta.forgotten)
+    merged = snapshots.merge(old.sections, delta.changed, gone)
     return snapshots.verify_snapshot(snapshots.Snapshot(head, pages, merged))
 
 
@@ -115,7 +130,8 @@
                 name: [change.version, change.data.decode("ascii")]
                 for name, change in delta.changed.items()
             },
-            "removed": list(delta.removed),
+            "removed": dict(delta.removed),
+            "forgotten": list(delta.forgotten),
         }
     )
 
@@ -137,6 +153,7 @@
         records,
         _decode_changed(content.get("changed")),
         _decode_removed(content.get("removed")),
+        _decode_forgotten(content.get("forgotten")),
     )
 
 
@@ -160,9 +177,18 @@
     return paging.Change(scalars.check_version(version), data, section)
 
 
-def _decode_removed(rows: Any) -> tuple[str, ...]:
-    if not isinstance(rows, list):
+def _decode_removed(rows: Any) -> dict[str, int]:
+    if not isinstance(rows, dict):
         raise exceptions.SnapshotError("a delta has removed sections")
+    return {
+        scalars.check_name(name): scalars.check_version(version)
+        for name, version in rows.items()
+    }
+
+
+def _decode_forgotten(rows: Any) -> tuple[str, ...]:
+    if not isinstance(rows, list):
+        raise exceptions.SnapshotError("a delta has forgotten sections")
     if not all(isinstance(name, str) for name in rows):
-        raise exceptions.SnapshotError("a removed section is a name")
+        raise exceptions.SnapshotError("a forgotten section is a name")
     return tuple(rows)
--- a/libs/config/src/filbertlift_config/page.py
+++ b/libs/config/src/filbertlift_config/page.py
@@ -13,6 +13,10 @@
 from filbertlift_core import env
 
 PAGES: Final = 64
+# Hash of a section that was removed. Its entry is kept while the history names
+# the version of the removal, so that a publisher whose base is older than the
+# section learns that others added and removed it.
+REMOVED: Final = ""
 
 
 @attrs.frozen
@@ -23,13 +27,18 @@
     that was left alone, which the hash cannot.
 
     Attributes:
-        hash: hash of the encoded section.
+        hash: hash of the encoded section, `REMOVED` for none.
         version: version in which the section last changed.
     """
 
     hash: str
     version: int
 
+    @property
+    def is_removed(self) -> bool:
+        """Whether the entry tells of a section that is no longer there."""
+        return self.hash == REMOVED
+
 
 @attrs.frozen(eq=False)
 class Page:
@@ -48,6 +57,10 @@
         """Returns the page with these entries."""
         return cls(entries, codec.hash_bytes(encode_page(entries)))
 
+    def list_live(self) -> dict[str, Entry]:
+        """Returns the entries of the sections that are there."""
+        return select_live(self.entries)
+
 
 @attrs.frozen
 class Change:
@@ -64,20 +77,55 @@
     section: codec.Section
 
 
+def select_live(entries: Mapping[str, Entry]) -> dict[str, Entry]:
+    """Returns the entries without those of removed sections."""
+    return {
+        name: entry for name, entry in entries.items() if not entry.is_removed
+    }
+
+
+def list_forgotten(
+    pages: tuple[Page, ...], names: Iterable[str], version: int
+) -> list[str]:
+    """Returns the removed sections that the history no longer covers.
+
+    Args:
+        pages: the pages before a change.
+        names: the sections that change; only their pages are looked at.
+        version: the last version that the history no longer names.
+    """
+    return sorted(
+        name
+        for number in {select_page(name) for name in names}
+        for name, entry in pages[number].entries.items()
+        if entry.is_removed and entry.version <= version
+    )
+
+
 def replace_sections(
     pages: tuple[Page, ...],
     added: Mapping[str, Change],
-    removed: Iterable[str],
+    removed: Mapping[str, int],
+    forgotten: Iterable[str] = (),
 ) -> tuple[Page, ...]:
-    """Returns the pages with only the affected ones encoded again."""
+    """Returns the pages with only the affected ones encoded again.
+
+    Args:
+        pages: the pages before the change.
+        added: new sections by name.
+        removed: versions in which sections were removed, by name.
+        forgotten: removed sections whose entries are dropped.
+    """
     affected: dict[int, dict[str, Entry]] = {}
-    for name in (*removed, *added):
+    for name in (*forgotten, *removed, *added):
         number = select_page(name)
         entries = affected.setdefault(number, dict(pages[number].entries))
         entries.pop(name, None)
         if name in added:
             change = added[name]
             entries[name] = Entry(codec.hash_bytes(change.data), change.version)
+        elif name in removed:
+            entries[name] = Entry(REMOVED, removed[name])
     result = list(pages)
     for number, entries in affected.items():
         result[number] = Page.build(entries)
@@ -120,4 +168,11 @@
 def _decode_entry(row: Any) -> Entry:
     if not isinstance(row, list) or len(row) != 2:
         raise exceptions.SnapshotError("not an entry of a page")
-    return Entry(scalars.check_hash(row[0]), scalars.check_version(row[1]))
+    return make_entry(row[0], row[1])
+
+
+def make_entry(digest: Any, version: Any) -> Entry:
+    """Returns a checked entry; raises SnapshotError."""
+    if digest != REMOVED:
+        digest = scalars.check_hash(digest)
+    return Entry(digest, scalars.check_version(version))
--- a/libs/config/src/filbertlift_config/publication.py
+++ b/libs/config/src/filbertlift_config/publication.py
@@ -18,7 +18,8 @@
 
     Attributes:
         version: number of the version.
-        entries: hash and version of each section by name.
+        entries: hash and version of each section by name, removed ones
+            included.
     """
 
     version: int
@@ -27,7 +28,13 @@
     def get_hash(self, name: str) -> str | None:
         """Returns the hash of a section, or None when there is none."""
         entry = self.entries.get(name)
-        return entry.hash if entry is not None else None
+        if entry is None or entry.is_removed:
+            return None
+        return entry.hash
+
+    def list_names(self) -> set[str]:
+        """Returns the names of the sections that are there."""
+        return set(paging.select_live(self.entries))
 
     @classmethod
     def from_snapshot(cls, snapshot: snapshots.Snapshot) -> "Base":
@@ -102,7 +109,7 @@
     conflicts = [
         name
         for name in changes
-        if current.get_entry(name) != base.entries.get(name)
+        if _has_changed(base.entries.get(name), current.get_entry(name))
     ]
     if conflicts:
         return Conflict(tuple(sorted(conflicts)), base.version, current.version)
@@ -129,6 +136,14 @@
     return file.check_sections(kept)
 
 
+def _has_changed(base: paging.Entry | None, now: paging.Entry | None) -> bool:
+    """Returns whether others changed a section since the base."""
+    if now is None and base is not None and base.is_removed:
+        # It is still removed; only the entry was dropped since.
+        return False
+    return now != base
+
+
 def _hash_section(section: sections.Section | None) -> str | None:
     if section is None:
         return None
--- a/libs/config/src/filbertlift_config/routes.py
+++ b/libs/config/src/filbertlift_config/routes.py
@@ -206,7 +206,7 @@
     older = previous._services if previous is not None else {}
     services = {}
     for page in snapshot.pages:
-        for name, entry in page.entries.items():
+        for name, entry in page.list_live().items():
             section = snapshot.sections[name]
             if section.kind != "service":
                 continue
--- a/libs/config/src/filbertlift_config/snapshot.py
+++ b/libs/config/src/filbertlift_config/snapshot.py
@@ -53,7 +53,7 @@
         return self.head.root
 
     def get_entry(self, name: str) -> paging.Entry | None:
-        """Returns the entry of a section, or None when there is none."""
+        """Returns the entry of a section, removed or not, or None."""
         return self.pages[paging.select_page(name)].entries.get(name)
 
     @classmethod
@@ -108,8 +108,15 @@
             for name, section in changes.items()
             if section is not None
         }
-        removed = [name for name, section in changes.items() if section is None]
-        pages = paging.replace_sections(self.pages, added, removed)
+        removed = {
+            name: version
+            for name, section in changes.items()
+            if section is None and name in self.sections
+        }
+        forgotten = paging.list_forgotten(
+            self.pages, (*added, *removed), version - heads.HISTORY
+        )
+        pages = paging.replace_sections(self.pages, added, removed, forgotten)
         hashes = tuple(page.hash for page in pages)
         record = heads.VersionRecord(
             version, publication, heads.hash_pages(hashes)
@@ -149,6 +156,8 @@
                 raise exceptions.SnapshotError(f"{name} is on a wrong page")
             if entry.version > version:
                 raise exceptions.SnapshotError(f"{name} is from later")
+            if entry.is_removed:
+                continue
             found[name] = _take_section(name, entry, contents, base)
     return Parts(decoded, found)
 
--- a/libs/config/tests/test_snapshot.py
+++ b/libs/config/tests/test_snapshot.py
@@ -74,7 +74,8 @@
     bad = [
         attrs.evolve(delta, changed={"a": forged}),
         attrs.evolve(delta, changed={}),
-        attrs.evolve(delta, removed=("b",)),
+        attrs.evolve(delta, removed={"b": 2}),
+        attrs.evolve(delta, forgotten=("b",)),
         attrs.evolve(delta, base_version=2),
     ]
     for item in bad:
@@ -305,7 +306,6 @@
         verifier.verify(token, 0)
 
 
-@pytest.mark.xfail(strict=True, reason="listed in KNOWN-RED.txt")
 def test_section_added_and_removed_since_the_base_is_a_conflict() -> None:
     """Guards against adding what another operator added and took back."""
     base = planning.Base.from_snapshot(EMPTY)
@@ -313,3 +313,47 @@
     wanted = {"a": codec.Section("a")}
     result = planning.plan_publication(base, later, wanted, "q")
     assert isinstance(result, planning.Conflict)
+
+
+def test_a_removed_section_may_be_added_again_by_one_who_knows() -> None:
+    """Guards against a conflict with a removal that the base has."""
+    removed = make_version(make_version(EMPTY, {"a": 1}), {"a": None})
+    base = planning.Base.from_snapshot(removed)
+    wanted = {"a": codec.Section("a")}
+    assert isinstance(
+        planning.plan_publication(base, removed, wanted, "q"), planning.Plan
+    )
+
+
+def test_the_entry_of_a_removed_section_goes_with_the_history() -> None:
+    """Guards against pages that grow with every section ever removed."""
+    version = make_version(make_version(EMPTY, {"a": 1}), {"a": None})
+    base = planning.Base.from_snapshot(version)
+    other = find_neighbour("a")
+    for number in range(heads.HISTORY + 1):
+        version = make_version(version, {other: 1 + number % 3})
+    assert version.get_entry("a") is None
+    wanted = {"a": codec.Section("a")}
+    assert isinstance(
+        planning.plan_publication(base, version, wanted, "q"), planning.Plan
+    )
+
+
+def test_a_removal_is_known_while_the_history_names_it() -> None:
+    """Guards against forgetting it with the next change of its page."""
+    version = make_version(make_version(EMPTY, {"a": 1}), {"a": None})
+    version = make_version(version, {find_neighbour("a"): 1})
+    base = planning.Base.from_snapshot(EMPTY)
+    wanted = {"a": codec.Section("a")}
+    result = planning.plan_publication(base, version, wanted, "q")
+    assert isinstance(result, planning.Conflict)
+
+
+def find_neighbour(name: str) -> str:
+    """Returns the name of a section on the same page."""
+    page = paging.select_page(name)
+    return next(
+        other
+        for other in (f"n{number}" for number in range(1_000))
+        if paging.select_page(other) == page
+    )
--- a/libs/store/src/filbertlift_store/cleanup.py
+++ b/libs/store/src/filbertlift_store/cleanup.py
@@ -196,7 +196,7 @@
                 continue
             listed[interface.page_key(self.cluster, digest)] = None
             page = yield self._get_page(digest)
-            for entry in page.entries.values():
+            for entry in page.list_live().values():
                 listed[interface.section_key(self.cluster, entry.hash)] = None
         return listed
 
--- a/libs/store/src/filbertlift_store/parts.py
+++ b/libs/store/src/filbertlift_store/parts.py
@@ -87,7 +87,7 @@
         interface.section_key(cluster, entry.hash): codec.encode_section(
             new.sections[name]
         )
-        for name, entry in after.entries.items()
+        for name, entry in after.list_live().items()
         if entry.hash not in held
     }
 
--- a/libs/store/src/filbertlift_store/snapshots.py
+++ b/libs/store/src/filbertlift_store/snapshots.py
@@ -204,9 +204,9 @@
 def _list_missing(reader: _Reader, page: paging.Page) -> list[str]:
     """Returns the hashes of the sections that the base lacks."""
     if reader.base is None:
-        return [entry.hash for entry in page.entries.values()]
+        return [entry.hash for entry in page.list_live().values()]
     missing = []
-    for name, entry in page.entries.items():
+    for name, entry in page.list_live().items():
         held = reader.base.get_entry(name)
         if held is None or held.hash != entry.hash:
             missing.append(entry.hash)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -300,9 +300,17 @@
         "overwrite a section that was changed and changed back",
         "config",
         "publication",
-        "        if current.get_entry(name) != base.entries.get(name)\n",
-        "        if getattr(current.get_entry(name), 'hash', None)\n"
-        "        != base.get_hash(name)\n",
+        "    return now != base\n",
+        "    hashes = [getattr(entry, 'hash', '') for entry in (now, base)]\n"
+        "    return hashes[0] != hashes[1]\n",
+        SNAPSHOT_TEST,
+    ),
+    Fault(
+        "forget a removal at once",
+        "config",
+        "snapshot",
+        "version - heads.HISTORY\n",
+        "version\n",
         SNAPSHOT_TEST,
     ),
     Fault(
