Name reasons once; one running average

Cause: the same reasons stood as text in five modules, and the average of service times stood twice (libs/calls and libs/mesh).

Change: filbertlift_mesh.reasons and filbertlift_calls.means; what a leaving target is stands with the target. Behaviour is unchanged.

--- a/libs/calls/src/filbertlift_calls/admission.py
+++ b/libs/calls/src/filbertlift_calls/admission.py
@@ -20,6 +20,7 @@
 
 from filbertlift_calls import codes
 from filbertlift_calls import exceptions
+from filbertlift_calls import means as averages
 from filbertlift_calls import queues
 from filbertlift_calls import tickets
 from filbertlift_core import model
@@ -32,26 +33,10 @@
 # Waiting calls of one class at most; each class has its own bound, so that a
 # full queue of long work never sheds a check.
 QUEUE_LIMIT: Final = 1_000
-# Weight of the newest service time once 20 were measured.
-MEAN_GAIN: Final = 0.05
 # Withdrawn tickets may stay in the heap of deadlines up to this number.
 STALE_HEAP: Final = 64
 
 
-@attrs.define(eq=False)
-class Mean:
-    """Running average of service times, in seconds; 0 while unmeasured."""
-
-    value: float = 0.0
-    count: int = 0
-
-    def add(self, sample: float) -> None:
-        """Adds one sample."""
-        self.count += 1
-        gain = max(MEAN_GAIN, 1.0 / self.count)
-        self.value += gain * (sample - self.value)
-
-
 @attrs.frozen
 class Policy:
     """What differs between the priority queue and the baseline.
@@ -87,8 +72,10 @@
     queue_limit: int
     paused: str | None = None
     running: list[int] = attrs.field(factory=lambda: [0] * len(CLASSES))
-    means: list[Mean] = attrs.field(factory=lambda: [Mean() for _ in CLASSES])
-    short_mean: Mean = attrs.field(factory=Mean)
+    means: list[averages.Mean] = attrs.field(
+        factory=lambda: [averages.Mean() for _ in CLASSES]
+    )
+    short_mean: averages.Mean = attrs.field(factory=averages.Mean)
     short_seen: float = float("-inf")
     _total: int = 0
     _started: set[str] = attrs.field(factory=set)
--- a/libs/mesh/src/filbertlift_mesh/announcements.py
+++ b/libs/mesh/src/filbertlift_mesh/announcements.py
@@ -60,6 +60,14 @@
     _sequence: int = -1
     _departed: directory.TargetRecord | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the present incarnation said that it drains or leaves."""
+        held = self.current
+        return (
+            held is not None and held.state is not directory.TargetState.READY
+        )
+
     def note_beat(self, beat: Announcement, now: float) -> str:
         """Takes a heartbeat; returns `news`, `known` or why it was left out."""
         target = beat.target
--- a/libs/mesh/src/filbertlift_mesh/backlog.py
+++ b/libs/mesh/src/filbertlift_mesh/backlog.py
@@ -13,7 +13,9 @@
 
 import attrs
 
+from filbertlift_calls import means as averages
 from filbertlift_mesh import exceptions
+from filbertlift_mesh import reasons
 
 # Weight of the newest service time once ten were measured.
 MEAN_GAIN: Final = 0.1
@@ -33,18 +35,9 @@
 MAX_RETRY_AFTER_S: Final = 5.0
 
 
-@attrs.define(eq=False)
-class Mean:
-    """Running average of times, in seconds."""
-
-    value: float = 0.0
-    count: int = 0
-
-    def add(self, sample: float) -> None:
-        """Adds one sample."""
-        self.count += 1
-        gain = max(MEAN_GAIN, 1.0 / self.count)
-        self.value += gain * (sample - self.value)
+def make_mean() -> averages.Mean:
+    """Returns an average of service times."""
+    return averages.Mean(gain=MEAN_GAIN)
 
 
 @attrs.define(eq=False)
@@ -91,9 +84,9 @@
 class Refusal(enum.Enum):
     """Why a call was turned away without having run."""
 
-    FULL = "queue-full"
-    LATE = "too-late"
-    SLOW = "wait-too-long"
+    FULL = reasons.QUEUE_FULL
+    LATE = reasons.TOO_LATE
+    SLOW = reasons.WAIT_TOO_LONG
 
 
 @attrs.frozen
@@ -139,8 +132,8 @@
     slots: int = 0
     running: set[Ticket] = attrs.field(factory=set)
     waiting: list[Ticket] = attrs.field(factory=list)
-    mean: Mean = attrs.field(factory=Mean)
-    means: dict[str, Mean] = attrs.field(factory=dict)
+    mean: averages.Mean = attrs.field(factory=make_mean)
+    means: dict[str, averages.Mean] = attrs.field(factory=dict)
     rates: dict[int, WorkRate] = attrs.field(factory=dict)
 
     @property
@@ -198,7 +191,7 @@
             return
         spent = now - ticket.started_at
         self.mean.add(spent)
-        self.means.setdefault(ticket.work_class, Mean()).add(spent)
+        self.means.setdefault(ticket.work_class, make_mean()).add(spent)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Takes a waiting call out; returns whether it was waiting."""
--- a/libs/mesh/src/filbertlift_mesh/placement.py
+++ b/libs/mesh/src/filbertlift_mesh/placement.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from filbertlift_calls import means
 from filbertlift_core import model
 from filbertlift_mesh import backlog
 from filbertlift_mesh import configuration
@@ -99,9 +100,9 @@
     reported_busy: int = 0
     reported_at: float = _NEVER
     sent_since: int = 0
-    service: backlog.Mean = attrs.field(factory=backlog.Mean)
-    services: dict[str, backlog.Mean] = attrs.field(factory=dict)
-    ways: dict[bool, backlog.Mean] = attrs.field(factory=dict)
+    service: means.Mean = attrs.field(factory=backlog.make_mean)
+    services: dict[str, means.Mean] = attrs.field(factory=dict)
+    ways: dict[bool, means.Mean] = attrs.field(factory=dict)
     way_at: dict[bool, float] = attrs.field(factory=dict)
     failure: float = 0.0
     failed_at: float = _NEVER
@@ -125,13 +126,13 @@
     def note_service(self, work_class: str, service_s: float) -> None:
         """Records how long the target ran a call."""
         self.service.add(service_s)
-        self.services.setdefault(work_class, backlog.Mean()).add(service_s)
+        self.services.setdefault(work_class, backlog.make_mean()).add(service_s)
 
     def note_way(self, is_download: bool, way_s: float, now: float) -> None:
         """Records the time of a call besides waiting and running."""
         if now - self.way_at.get(is_download, _NEVER) > WAY_AGE_S:
             self.ways.pop(is_download, None)
-        self.ways.setdefault(is_download, backlog.Mean()).add(way_s)
+        self.ways.setdefault(is_download, backlog.make_mean()).add(way_s)
         self.way_at[is_download] = now
 
     def get_way(self, is_download: bool, now: float) -> float:
--- /dev/null
+++ b/libs/mesh/src/filbertlift_mesh/reasons.py
@@ -0,0 +1,25 @@
+"""Why a call was refused, failed or ended, as nodes and logs name it."""
+
+from typing import Final
+
+NO_CONFIGURATION: Final = "no-configuration"
+NO_ROUTE: Final = "no-route"
+NO_TARGET: Final = "no-target"
+TARGET_LEAVING: Final = "target-leaving"
+TARGET_DOWN: Final = "target-down"
+OTHER_SERVICE: Final = "other-service"
+LEAVING: Final = "leaving"
+QUEUE_FULL: Final = "queue-full"
+TOO_LATE: Final = "too-late"
+WAIT_TOO_LONG: Final = "wait-too-long"
+TARGET_REFUSED: Final = "target-refused"
+OTHER_TARGET: Final = "other-target"
+TIMEOUT: Final = "timeout"
+CALLER_GONE: Final = "caller-gone"
+# Prefix of what became of a link between nodes.
+LINK: Final = "link-"
+
+# A keeper that says so is not what its host's record makes of it.
+STALE: Final = frozenset(
+    (NO_TARGET, TARGET_LEAVING, TARGET_DOWN, OTHER_SERVICE, LEAVING)
+)
--- a/libs/mesh/tests/test_backlog.py
+++ b/libs/mesh/tests/test_backlog.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from filbertlift_calls import means
 from filbertlift_mesh import backlog
 from filbertlift_mesh import exceptions
 
@@ -20,7 +21,7 @@
     """Returns a backlog whose slots are taken at time 0."""
     full = backlog.Backlog(slots=slots)
     full.mean.add(service_s)
-    full.means["safe-0.4-1"] = backlog.Mean(service_s, 1)
+    full.means["safe-0.4-1"] = means.Mean(service_s, 1)
     for number in range(slots):
         full.offer(make_ticket(f"first-{number}"), 1.0, 0.0)
     return full
--- a/libs/sidecar/src/filbertlift_sidecar/control.py
+++ b/libs/sidecar/src/filbertlift_sidecar/control.py
@@ -49,7 +49,6 @@
     events: ControlEvents
     log: eventlog.EventLog
     metrics: node_metrics.NodeMetrics
-    is_draining: Callable[[announcements.LocalTarget], bool]
 
     def handle(self, request: http.Request, reply: replies.Reply) -> None:
         """Answers one request of the target."""
@@ -76,7 +75,7 @@
             self._send(reply, 200)
             return
         self.events.on_news()
-        if self.is_draining(self.target):
+        if self.target.is_leaving:
             self._save(reply)
         else:
             self._send(reply, 200)
--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -10,6 +10,7 @@
 from filbertlift_mesh import configuration as configurations
 from filbertlift_mesh import outcomes
 from filbertlift_mesh import placement as placements
+from filbertlift_mesh import reasons
 from filbertlift_mesh import repeats
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import exchange
@@ -77,7 +78,9 @@
             self.refuse(reply, request, self.refusal, NOT_READY_RETRY_S)
             return
         if self.configuration is None:
-            self.refuse(reply, request, "no-configuration", NOT_READY_RETRY_S)
+            self.refuse(
+                reply, request, reasons.NO_CONFIGURATION, NOT_READY_RETRY_S
+            )
             return
         hostname = request.headers.get("host", "").partition(":")[0]
         route = self.configuration.find_route(hostname, request.path)
@@ -167,7 +170,7 @@
         self, request: http.Request, reply: replies.Reply, hostname: str
     ) -> None:
         assert self.configuration is not None
-        self.metrics.refused.labels("no-route").inc()
+        self.metrics.refused.labels(reasons.NO_ROUTE).inc()
         self.events.log_request(
             "entry.no-route",
             id=self.find_id(request),
@@ -175,7 +178,7 @@
             path=request.path,
             version=self.configuration.version,
         )
-        self.answer(reply, request, 404, "no-route")
+        self.answer(reply, request, 404, reasons.NO_ROUTE)
 
     def _read_deadline(self, request: http.Request) -> float:
         text = request.headers.get(self.dialect.deadline.lower(), "")
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -11,6 +11,7 @@
 from filbertlift_mesh import configuration
 from filbertlift_mesh import outcomes
 from filbertlift_mesh import placement
+from filbertlift_mesh import reasons
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import keeper
 from filbertlift_sidecar import remote
@@ -29,11 +30,6 @@
 # for several times what it should take, and at least this long, in seconds.
 HEDGE_FACTOR: Final = 4.0
 LEAST_HEDGE_S: Final = 0.3
-# Reasons of a keeper that say that this node's picture of it is out of date.
-_STALE_REASONS: Final = frozenset(
-    ("no-target", "target-leaving", "target-down", "other-service", "leaving")
-)
-SLOW: Final = "wait-too-long"
 
 
 @attrs.define(eq=False)
@@ -90,7 +86,7 @@
     _slow: set[model.Address] = attrs.field(factory=set)
     _is_patient: bool = False
     _retry_after_s: float = 0.0
-    _last_reason: str = "no-target"
+    _last_reason: str = reasons.NO_TARGET
     _timer: Any = None
     _hedge_timer: Any = None
 
@@ -267,13 +263,13 @@
         if not answer.more and not attempt.is_over:
             attempt.is_over = True
             view.note_end()
-        if answer.reason.startswith("link-"):
+        if answer.reason.startswith(reasons.LINK):
             places.avoid(view.address, now)
             return
         places.note_reached(view.address)
         view.note_load(answer.busy, now)
         if end is AttemptEnd.NOT_RUN:
-            if answer.reason in _STALE_REASONS:
+            if answer.reason in reasons.STALE:
                 places.avoid(view.address, now)
             return
         view.note_result(end is not AttemptEnd.ANSWERED, now)
@@ -289,7 +285,7 @@
         self.sent -= 1
         self.refusals += 1
         self._retry_after_s = answer.retry_after_ms / 1000
-        if answer.reason == SLOW:
+        if answer.reason == reasons.WAIT_TOO_LONG:
             self._slow.add(attempt.view.address)
 
     def _begin_stream(self, attempt: Attempt, answer: frames.Answer) -> None:
@@ -372,7 +368,7 @@
             self._end("cut-at-deadline", 0)
             self.reply.abort()
             return
-        self._fail(504, "timeout")
+        self._fail(504, reasons.TIMEOUT)
 
     def _lose_caller(self) -> None:
         if self.is_over:
@@ -383,7 +379,7 @@
             sent=self.sent,
             waited_s=self._now() - self.started_at,
         )
-        self._end("caller-gone", 0)
+        self._end(reasons.CALLER_GONE, 0)
 
     def _end(self, reason: str, status: int, target_id: str = "") -> None:
         self.is_over = True
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -14,6 +14,7 @@
 from filbertlift_mesh import backlog as backlogs
 from filbertlift_mesh import directory
 from filbertlift_mesh import outcomes
+from filbertlift_mesh import reasons
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import exchange
 from filbertlift_sidecar import frames
@@ -144,7 +145,7 @@
         now = self.reactor.seconds()
         usable = self.target.get_usable(now)
         if usable is None:
-            self.drop_waiting("target-leaving")
+            self.drop_waiting(reasons.TARGET_LEAVING)
             return
         self.backlog.slots = usable.slots
         self._fill(now)
@@ -167,19 +168,19 @@
         if self.refusal:
             return self.refusal
         if now < self._down_until:
-            return "target-down"
+            return reasons.TARGET_DOWN
         usable = self.target.get_usable(now)
         if usable is None:
-            return "no-target"
+            return reasons.NO_TARGET
         if usable.service != call.service:
-            return "other-service"
+            return reasons.OTHER_SERVICE
         return ""
 
     def _start(self, kept: KeptCall, now: float) -> None:
         usable = self.target.get_usable(now)
         if usable is None or self.refusal:
             self.backlog.release(kept.ticket, False, now)
-            self._refuse(kept, "target-leaving", 0.0)
+            self._refuse(kept, reasons.TARGET_LEAVING, 0.0)
             return
         self.started += 1
         self._running[kept.ticket] = kept
@@ -270,7 +271,7 @@
         )
         if not is_sent:
             self._down_until = now + DOWN_S
-            self.drop_waiting("target-down")
+            self.drop_waiting(reasons.TARGET_DOWN)
         if kept.has_begun:
             if not kept.is_over:
                 kept.is_over = True
@@ -388,9 +389,9 @@
     def _poll(self) -> None:
         now = self.reactor.seconds()
         for ticket in self.backlog.drop_late(now):
-            self._refuse(self._waiting.pop(ticket), "too-late", 0.0)
+            self._refuse(self._waiting.pop(ticket), reasons.TOO_LATE, 0.0)
         if self.target.get_usable(now) is None:
-            self.drop_waiting("target-leaving")
+            self.drop_waiting(reasons.TARGET_LEAVING)
         if self._waiting:
             self._set_poll()
 
@@ -401,9 +402,9 @@
     """Returns what a target's answer says about its request."""
     names = {name.lower() for name, _value in answer.headers}
     if marks.not_run.lower() in names:
-        return AttemptEnd.SHED, "target-refused"
+        return AttemptEnd.SHED, reasons.TARGET_REFUSED
     if answer.status == marks.misdirected_status:
-        return AttemptEnd.SHED, "other-target"
+        return AttemptEnd.SHED, reasons.OTHER_TARGET
     if marks.signature.lower() not in names:
         return AttemptEnd.BROKEN, f"unsigned-{answer.status}"
     if answer.status in PROMISE_STATUSES:
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -17,6 +17,7 @@
 from filbertlift_mesh import configuration
 from filbertlift_mesh import directory
 from filbertlift_mesh import placement
+from filbertlift_mesh import reasons
 from filbertlift_mesh import repeats
 from filbertlift_sidecar import control
 from filbertlift_sidecar import entry
@@ -167,7 +168,6 @@
             control.ControlEvents(self._note_target, self._save_departure),
             log,
             meters,
-            _is_draining,
         )
         self._servers: list[server.HttpServer] = []
         self._callers: server.HttpServer | None = None
@@ -378,10 +378,10 @@
     # Leaving.
 
     def _refuse_peers(self) -> None:
-        self._inbound.refusal = "leaving"
+        self._inbound.refusal = reasons.LEAVING
 
     def _drain(self, limit: float) -> None:
-        self.entry.refusal = "leaving"
+        self.entry.refusal = reasons.LEAVING
         self._check_drain(limit)
 
     def _check_drain(self, limit: float) -> None:
@@ -409,11 +409,6 @@
         self.stopped.callback(None)
 
 
-def _is_draining(target: announcements.LocalTarget) -> bool:
-    held = target.current
-    return held is not None and held.state is not directory.TargetState.READY
-
-
 def _make_limits(limits: configuration.ClientLimits) -> http.Limits:
     return http.Limits(
         head_bytes=limits.head_bytes,
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -8,6 +8,7 @@
 
 from filbertlift_core import model
 from filbertlift_mesh import outcomes
+from filbertlift_mesh import reasons
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import keeper
@@ -165,5 +166,5 @@
                 )
             else:
                 remote.on_answer(
-                    frames.Answer(remote.stream, end, f"link-{reason}")
+                    frames.Answer(remote.stream, end, reasons.LINK + reason)
                 )
