--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -41,8 +41,9 @@
 # second; until then their calls are served. What still comes later is refused,
 # since it might not end before the process does.
 LEAVE_S: Final = 2.6
-# Work under way may last until this long before the grace ends, in seconds.
-LAST_S: Final = 0.4
+# Work under way may last until this long before the grace ends, in seconds. A
+# host that runs five times slower takes half a second to end its process.
+LAST_S: Final = 0.8
 # A keeper that leaves still takes calls of peers that have not heard of it.
 PEER_LEAVE_S: Final = 0.5
 DRAIN_CHECK_S: Final = 0.05
