Dial connections at one place; drop state that nothing reads

Cause: read of the whole change. The factory that hands out one connection and reports its failure stood four times (client, link, exchange, peerlink). The keeper's refusal and two counters, and the pool's counter, were never set or read; two branches of decide_step and two of the repeat budget repeated each other.

Change: filbertlift_transport.dialling serves all four. Behaviour is unchanged; no test was changed.

--- a/libs/mesh/src/filbertlift_mesh/outcomes.py
+++ b/libs/mesh/src/filbertlift_mesh/outcomes.py
@@ -74,13 +74,10 @@
     if end is AttemptEnd.ANSWERED:
         return Step.RELAY
     has_time = progress.left_s > LEAST_TIME_S
-    if end is AttemptEnd.NOT_RUN:
-        if has_time and progress.refusals < MAX_REFUSALS:
-            return Step.TRY_ELSEWHERE
-        return Step.REFUSE
-    if end is AttemptEnd.SHED:
-        may_repeat = has_time and progress.refusals < MAX_REFUSALS
-        return Step.REPEAT if may_repeat else Step.REFUSE
+    if end in (AttemptEnd.NOT_RUN, AttemptEnd.SHED):
+        if not has_time or progress.refusals >= MAX_REFUSALS:
+            return Step.REFUSE
+        return Step.REPEAT if end is AttemptEnd.SHED else Step.TRY_ELSEWHERE
     may_repeat = (
         progress.route.is_idempotent
         and has_time
--- a/libs/mesh/src/filbertlift_mesh/repeats.py
+++ b/libs/mesh/src/filbertlift_mesh/repeats.py
@@ -73,8 +73,10 @@
 
     def _get_burst(self) -> float:
         # A window sees one full bucket and what flows in meanwhile.
-        return max(1.0, self.policy.slack * USED_PART / 2.0 / self.hosts)
+        return max(1.0, self._get_share())
 
     def _get_rate(self) -> float:
-        share = self.policy.slack * USED_PART / 2.0 / self.hosts
-        return share / self.policy.window_s
+        return self._get_share() / self.policy.window_s
+
+    def _get_share(self) -> float:
+        return self.policy.slack * USED_PART / 2.0 / self.hosts
--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -18,6 +18,7 @@
 from filbertlift_core import model
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import sockets
+from filbertlift_transport import dialling
 from filbertlift_transport import http
 from filbertlift_transport import outputs
 
@@ -205,11 +206,8 @@
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Opens the connection."""
-        self._connector = reactor.connectTCP(
-            address.host,
-            address.port,
-            _Factory(self),
-            timeout=CONNECT_TIMEOUT_S,
+        self._connector = dialling.dial(
+            reactor, address, self, CONNECT_TIMEOUT_S
         )
 
     def start(self, request: TargetRequest, events: ExchangeEvents) -> None:
@@ -413,34 +411,17 @@
         self._reading = _Reading()
 
 
-class _Factory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, connection: TargetConnection) -> None:
-        self._connection = connection
-
-    def buildProtocol(self, _address: Any) -> TargetConnection:  # noqa: N802
-        return self._connection
-
-    def clientConnectionFailed(  # noqa: N802
-        self, _connector: Any, reason: failure.Failure
-    ) -> None:
-        self._connection.fail_connect(reason.getErrorMessage())
-
-
 class TargetPool:
     """Connections to the target beside this node.
 
     Attributes:
         dialect: names of the headers that the target understands.
-        opened: connections opened so far.
     """
 
     def __init__(
         self, reactor: Any, address: model.Address, dialect: TargetDialect
     ) -> None:
         self.dialect = dialect
-        self.opened = 0
         self._reactor = reactor
         self._address = address
         self._connections: set[TargetConnection] = set()
@@ -453,7 +434,6 @@
         connection = self._take_idle(request.needs_fresh)
         if connection is None:
             connection = TargetConnection(self)
-            self.opened += 1
             self._connections.add(connection)
             connection.start(request, events)
             connection.connect(self._reactor, self._address)
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -67,9 +67,6 @@
     Attributes:
         target: what the target said of itself.
         backlog: slots and waiting calls.
-        refusal: why no call is taken at all, or empty.
-        started: calls sent to the target so far.
-        refused: calls turned away so far.
     """
 
     reactor: Any
@@ -77,9 +74,6 @@
     pool: exchange.TargetPool
     events: eventlog.EventLog
     backlog: backlogs.Backlog = attrs.field(factory=backlogs.Backlog)
-    refusal: str = ""
-    started: int = 0
-    refused: int = 0
     _waiting: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
     _running: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
     _down_until: float = float("-inf")
@@ -165,8 +159,6 @@
         self.pool.close()
 
     def _find_refusal(self, call: frames.Call, now: float) -> str:
-        if self.refusal:
-            return self.refusal
         if now < self._down_until:
             return reasons.TARGET_DOWN
         usable = self.target.get_usable(now)
@@ -178,11 +170,10 @@
 
     def _start(self, kept: KeptCall, now: float) -> None:
         usable = self.target.get_usable(now)
-        if usable is None or self.refusal:
+        if usable is None:
             self.backlog.release(kept.ticket, False, now)
             self._refuse(kept, reasons.TARGET_LEAVING, 0.0)
             return
-        self.started += 1
         self._running[kept.ticket] = kept
         kept.target_id = usable.target_id
         limit_s = max(0.0, kept.ticket.deadline - now) + RUN_GRACE_S
@@ -312,7 +303,6 @@
     def _refuse(
         self, kept: KeptCall, reason: str, retry_after_s: float
     ) -> None:
-        self.refused += 1
         if not kept.is_over:
             self.events.log_request(
                 "keeper.refused",
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -121,7 +121,7 @@
         self._gossip = gossip.Gossip(
             reactor,
             self._table,
-            gossip.GossipEvents(self._note_records, self._learn_version),
+            gossip.GossipEvents(self._refresh_placement, self._learn_version),
             log,
             rng,
             lambda: self._versions.version,
@@ -296,9 +296,6 @@
         if self._table.update_own(attrs.evolve(own, has_store=has_store)):
             self._gossip.announce()
 
-    def _note_records(self) -> None:
-        self._refresh_placement()
-
     def _note_target(self) -> None:
         self._update_own()
         self._keeper.refresh_target()
--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -16,6 +16,7 @@
 from filbertlift_sidecar import exceptions
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import sockets
+from filbertlift_transport import dialling
 from filbertlift_transport import outputs
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -80,13 +81,14 @@
     def connect(self) -> None:
         """Dials the peer; messages sent meanwhile are kept."""
         assert self.address is not None
-        self._connector = self._reactor.connectTCP(
-            self.address.host,
-            self.address.port,
-            _Factory(self),
-            timeout=CONNECT_TIMEOUT_S,
+        self._connector = dialling.dial(
+            self._reactor, self.address, self, CONNECT_TIMEOUT_S
         )
 
+    def fail_connect(self, message: str) -> None:
+        """Takes down a link that could not be opened."""
+        self.close(f"connect-failed: {message}")
+
     def send(self, message: frames.Message) -> None:
         """Sends a message; the link's end is reported by its events."""
         if self.is_closed:
@@ -183,21 +185,6 @@
         self._set_probe()
 
 
-class _Factory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, link: PeerLink) -> None:
-        self._link = link
-
-    def buildProtocol(self, _address: Any) -> PeerLink:  # noqa: N802
-        return self._link
-
-    def clientConnectionFailed(  # noqa: N802
-        self, _connector: Any, reason: failure.Failure
-    ) -> None:
-        self._link.close(f"connect-failed: {reason.getErrorMessage()}")
-
-
 class LinkListener:
     """Accepts links of peers.
 
--- a/libs/transport/src/filbertlift_transport/client.py
+++ b/libs/transport/src/filbertlift_transport/client.py
@@ -8,6 +8,7 @@
 
 from filbertlift_core import model
 from filbertlift_transport import clientcall
+from filbertlift_transport import dialling
 from filbertlift_transport import http
 from filbertlift_transport import outputs
 from filbertlift_transport import responses
@@ -41,11 +42,8 @@
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Starts the connection."""
-        self._connector = reactor.connectTCP(
-            address.host,
-            address.port,
-            _ClientFactory(self),
-            timeout=CONNECT_TIMEOUT_S,
+        self._connector = dialling.dial(
+            reactor, address, self, CONNECT_TIMEOUT_S
         )
 
     def start(self, call: ClientCall) -> None:
@@ -144,21 +142,6 @@
             call.fail(reason, message)
 
 
-class _ClientFactory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self._connection = connection
-
-    def buildProtocol(self, _address: Any) -> ClientConnection:  # noqa: N802
-        return self._connection
-
-    def clientConnectionFailed(  # noqa: N802
-        self, _connector: Any, reason: failure.Failure
-    ) -> None:
-        self._connection.fail_connect(reason.getErrorMessage())
-
-
 class HttpPool:
     """Connections to one target, at most `max_connections`.
 
--- a/libs/transport/src/filbertlift_transport/link.py
+++ b/libs/transport/src/filbertlift_transport/link.py
@@ -9,6 +9,7 @@
 
 from filbertlift_core import logs
 from filbertlift_core import model
+from filbertlift_transport import dialling
 from filbertlift_transport import exceptions
 from filbertlift_transport import greeting
 from filbertlift_transport import lifecycle
@@ -320,21 +321,6 @@
     return listener
 
 
-class _OpenFactory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, link: Link) -> None:
-        self._link = link
-
-    def buildProtocol(self, _address: Any) -> Link:  # noqa: N802
-        return self._link
-
-    def clientConnectionFailed(  # noqa: N802
-        self, _connector: Any, reason: failure.Failure
-    ) -> None:
-        self._link.fail_connect(reason.getErrorMessage())
-
-
 def open_link(
     reactor: Any,
     address: model.Address,
@@ -344,11 +330,5 @@
 ) -> Link:
     """Opens a link to an address, through an HTTP CONNECT proxy if given."""
     link = Link(reactor, identity, events, address, proxy)
-    target = proxy or address
-    reactor.connectTCP(
-        target.host,
-        target.port,
-        _OpenFactory(link),
-        timeout=CONNECT_TIMEOUT_S,
-    )
+    dialling.dial(reactor, proxy or address, link, CONNECT_TIMEOUT_S)
     return link
