Log where the time of an answered call went

The line of an answered call now says how long it waited for a slot, how long the target ran it, and how many targets refused it, so that the rest of the time can be told from these. Needed to explain late answers on narrow links.

--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -316,7 +316,7 @@
     # Ends of the call.
 
     def _relay(self, answer: frames.Answer) -> None:
-        self._end(answer.reason, answer.status, answer.target_id)
+        self._end(answer.reason, answer.status, answer)
         self.reply.send(
             answer.status, keeper.strip_framing(answer.headers), answer.body
         )
@@ -381,7 +381,9 @@
         )
         self._end(reasons.CALLER_GONE, 0)
 
-    def _end(self, reason: str, status: int, target_id: str = "") -> None:
+    def _end(
+        self, reason: str, status: int, answer: frames.Answer | None = None
+    ) -> None:
         self.is_over = True
         self.entry.flows.discard(self)
         for timer in (self._timer, self._hedge_timer):
@@ -390,7 +392,7 @@
         self._withdraw_others(None)
         spent_s = self._now() - self.started_at
         self.entry.metrics.note_call(reason, status, spent_s)
-        if 200 <= status < 500:
+        if answer is not None and status < 500:
             self.entry.events.log_routine(
                 "entry.answered",
                 id=self.entry.find_id(self.request),
@@ -398,7 +400,11 @@
                 route=self.route.name,
                 version=self.version,
                 service=self.service,
-                target=target_id,
+                target=answer.target_id,
+                sent=self.sent,
+                refusals=self.refusals,
+                waited_s=answer.wait_us / keeper.MICROSECONDS,
+                ran_s=answer.service_us / keeper.MICROSECONDS,
                 took_s=spent_s,
             )
 
