Send answers to callers at once; let them end before a stop

Change: no pacing towards callers. A leaving node waits until callers have taken their answers and nothing waits for the link, then closes connections in order 0.15 s before it ends.

--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -19,7 +19,6 @@
 from filbertlift_sidecar import keeper as keepers
 from filbertlift_sidecar import metrics as node_metrics
 from filbertlift_sidecar import remote as remotes
-from filbertlift_sidecar import uplink as uplinks
 from filbertlift_transport import http
 from filbertlift_transport import reply as replies
 
@@ -41,7 +40,6 @@
     Attributes:
         own_address: address of this node's links.
         caller_service: service of this host, told to targets.
-        uplink: carries large answers to callers, who share the host's link.
         configuration: the version in force, None before the first.
         is_leaving: whether answers close their connection.
         refusal: why no further call is taken, or empty.
@@ -56,7 +54,6 @@
     budget: repeats.RepeatBudget
     keeper: keepers.Keeper
     remote: remotes.RemoteCalls
-    uplink: uplinks.Uplink
     events: eventlog.EventLog
     metrics: node_metrics.NodeMetrics
     refresh: Callable[[], None]
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -323,29 +323,10 @@
     # Ends of the call.
 
     def _relay(self, answer: frames.Answer) -> None:
-        headers = keeper.strip_framing(answer.headers)
-        if len(answer.body) <= self.entry.uplink.fragment_bytes:
-            self._end(answer.reason, answer.status, answer)
-            self.entry.uplink.note_sent(len(answer.body))
-            self.reply.send(answer.status, headers, answer.body)
-            return
-        self._has_begun = True
-        self.reply.start(answer.status, headers, len(answer.body))
-        self.entry.uplink.offer(
-            self,
-            0,
-            answer.body,
-            lambda part, left: self._write_part(answer, part, left),
-        )
-
-    def _write_part(
-        self, answer: frames.Answer, part: bytes, left: int
-    ) -> None:
-        self.reply.write(part)
-        if left:
-            return
         self._end(answer.reason, answer.status, answer)
-        self.reply.finish()
+        self.reply.send(
+            answer.status, keeper.strip_framing(answer.headers), answer.body
+        )
 
     def _refuse(self) -> None:
         now = self._now()
@@ -416,7 +397,6 @@
             if timer is not None and timer.active():
                 timer.cancel()
         self._withdraw_others(None)
-        self.entry.uplink.withdraw(self)
         spent_s = self._now() - self.started_at
         self.entry.metrics.note_call(reason, status, spent_s)
         if answer is not None and status < 500:
--- a/libs/sidecar/src/filbertlift_sidecar/handover.py
+++ b/libs/sidecar/src/filbertlift_sidecar/handover.py
@@ -70,9 +70,7 @@
                 return data
             digest, steps = _DECODER.decode(data)
             base = self._values.get(reply.base_version, b"")
-            return deltas.apply_delta(
-                base, deltas.Delta(digest, tuple(steps))
-            )
+            return deltas.apply_delta(base, deltas.Delta(digest, tuple(steps)))
         except (
             zlib.error,
             msgspec.MsgspecError,
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -48,6 +48,8 @@
 # A keeper that leaves still takes calls of peers that have not heard of it.
 PEER_LEAVE_S: Final = 0.5
 DRAIN_CHECK_S: Final = 0.05
+# Callers have this long to read the end of their answers, in seconds.
+LINGER_S: Final = 0.15
 HOUSEKEEPING_S: Final = 1.0
 # The platform and the target send no large requests.
 SMALL_LIMITS: Final = http.Limits(body_bytes=65_536, connections=100)
@@ -264,7 +266,6 @@
             repeats.RepeatBudget(policy),
             self._keeper,
             self._remote,
-            self._uplink,
             self._log,
             self._meters,
             self._refresh_placement,
@@ -389,12 +390,21 @@
 
     def _check_drain(self, limit: float) -> None:
         is_idle = not self.entry.flows and not self._keeper.in_flight
-        is_sent = self._uplink.backlog_s <= 0
-        if (is_idle and is_sent) or self._reactor.seconds() >= limit:
+        is_sent = not self._uplink.is_busy and not self._has_unsent_answers()
+        if self._reactor.seconds() >= limit:
             self._close()
             return
+        if is_idle and is_sent:
+            # The kernel may still hold the end of the last answers.
+            for part in self._servers:
+                part.stop_accepting()
+            self._reactor.callLater(LINGER_S, self._close)
+            return
         self._reactor.callLater(DRAIN_CHECK_S, self._check_drain, limit)
 
+    def _has_unsent_answers(self) -> bool:
+        return self._callers is not None and self._callers.has_unsent
+
     def _close(self) -> None:
         self._log.log(
             "node.stop",
--- a/libs/sidecar/src/filbertlift_sidecar/uplink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/uplink.py
@@ -91,6 +91,11 @@
         ahead_s = max(0.0, self._free_at - self.reactor.seconds())
         return ahead_s + self._queued_bytes / self.bytes_per_s
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether anything waits to be written."""
+        return bool(self._queue)
+
     def send(self, link: Link, stream: int, message: frames.Message) -> None:
         """Sends a message of a stream after the earlier ones of that stream."""
         data = frames.encode_message(message)
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -273,6 +273,13 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a caller has not yet taken all of its answer."""
+        return any(
+            connection.output.is_full for connection in self._connections
+        )
+
     def stop_accepting(self) -> Any:
         """Accepts no more and closes connections as they become idle.
 
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -385,3 +385,17 @@
             reply.send(200, (), b"ok")
         desk.clock.advance(0)
     desk.last.connectionLost()
+
+
+def test_a_caller_that_has_not_taken_its_answer_is_told() -> None:
+    """Guards against a stop that cuts an answer which is still being sent.
+
+    Seen on scale-2 of tussock-hq-grown.toml: a download was cut 0.7 s after
+    its target had ended it, since its caller had not yet read all of it.
+    """
+    desk = Desk()
+    receive, _transport = desk.connect()
+    receive(GET)
+    assert not desk.server.has_unsent
+    desk.last.output.is_full = True
+    assert desk.server.has_unsent
