Ask a near peer for a version first heard of from afar

Cause: any datagram tells the sender's version, and a version that a host knew of, from whichever region, was not asked for again.

Change: what was asked of a near peer is remembered apart from what is known.

--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -94,7 +94,9 @@
     current: configuration.Configuration | None = None
     shelf: handover.Shelf = attrs.field(factory=handover.Shelf)
     _revision: int = 0
+    # The newest version that any host has, and that a near one was asked for.
     _known_version: int = -1
+    _asked_version: int = -1
     _rejected: bytes = b""
     _is_closed: bool = False
     _fetch_call: Any = None
@@ -120,21 +122,26 @@
 
     def learn(self, peer: model.Address, version: int) -> None:
         """A peer has a newer version; fetches it from there or the store."""
-        if version <= max(self.version, self._known_version):
+        if version <= self.version:
             return
-        self._known_version = version
-        record = self.table.find_record(peer)
-        own_region = self.table.own.place.region
-        is_near = record is not None and record.place.region == own_region
-        if is_near:
+        if self._is_near(peer) and version > self._asked_version:
+            self._asked_version = version
             self.remote.find_link(peer, remotes.BULK).send(
                 frames.ConfigurationRequest(self.version)
             )
+        if version <= self._known_version:
+            return
+        self._known_version = version
         if self._fetch_call is None or not self._fetch_call.active():
             self._fetch_call = self.reactor.callLater(
                 PEER_S, self._fetch_from_store
             )
 
+    def _is_near(self, peer: model.Address) -> bool:
+        record = self.table.find_record(peer)
+        region = self.table.own.place.region
+        return record is not None and record.place.region == region
+
     def receive(self, link: peerlink.PeerLink, message: frames.Message) -> None:
         """Takes a message of a peer about configurations."""
         if isinstance(message, frames.ConfigurationRequest):
@@ -168,7 +175,7 @@
     def _note_failed_fetch(self, reason: Any) -> None:
         reason.trap(store_exceptions.StoreError)
         # The next digest that names the version starts another try.
-        self._known_version = self.version
+        self._known_version = self._asked_version = self.version
         self.log.log_request(
             "versions.fetch-failed", error=reason.getErrorMessage()
         )
--- a/libs/sidecar/tests/test_versions.py
+++ b/libs/sidecar/tests/test_versions.py
@@ -209,3 +209,20 @@
     for value in (b"no zlib", zlib.compress(b"0" * 3_000_000)):
         bench.versions.receive(None, frames.ConfigurationReply(9, value))
     assert bench.in_force == []
+
+
+def test_a_version_heard_of_from_afar_is_asked_of_a_near_peer():
+    """Guards against a whole region that reads the store at once.
+
+    Seen on all days of tussock-hq-grown.toml: 40 hosts of one region heard of
+    the first version from the other one, ignored their own watchers' news of
+    it, and read 194 KB each from the store.
+    """
+    far = make_record(2, place=model.Place("south", "s-1"))
+    near = [make_record(n, link_kbps=140_000) for n in (3, 4)]
+    made = Bench(far, *near, own=make_record(1, link_kbps=7_000))
+    made.versions.learn(far.address, 7)
+    assert made.link.sent == []
+    for peer in near:
+        made.versions.learn(peer.address, 7)
+    assert made.link.sent == [frames.ConfigurationRequest(-1)]
