Leave half of a receiver's link to other answers

Cause: the answers of yards' and confirm's hosts, which send no downloads, still took 100 ms for one in ten: two downloads to one entry fill its link of 3.5 Mbit/s, and the checks that a run waits for queue behind them.

Change: one receiver gets half of the sender's rate at most; downloads to several receivers share the link.

--- a/libs/sidecar/src/filbertlift_sidecar/uplink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/uplink.py
@@ -21,6 +21,9 @@
 USED_PART: Final = 0.85
 # What TCP and IP add to a small message, in bytes.
 OVERHEAD_BYTES: Final = 60
+# Part of that rate that goes to one receiver, whose link is often no wider and
+# takes in large messages of several hosts at once.
+RECEIVER_PART: Final = 0.5
 # Time on the link of one fragment, which is how long a small message may have
 # to wait behind it, in seconds; and the smallest fragment, in bytes.
 FRAGMENT_S: Final = 0.02
@@ -28,6 +31,9 @@
 # A fragment may leave this much before the one ahead has, in seconds, since
 # timers fire late.
 AHEAD_S: Final = 0.005
+# The shortest pause, in seconds; rounding must not make a timer fire again and
+# again just before a part is due.
+LEAST_PAUSE_S: Final = 0.001
 BITS: Final = 8
 
 
@@ -54,6 +60,7 @@
     data: bytes
     write: WriteFunction
     sent: int = 0
+    next_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -166,14 +173,34 @@
     def _pump(self) -> None:
         self._timer = None
         now = self.reactor.seconds()
-        while self._queue and self._free_at <= now + AHEAD_S:
-            size = self._write_next(self._queue[0])
-            self._free_at = max(self._free_at, now) + size / self.bytes_per_s
+        while self._free_at <= now + AHEAD_S:
+            transfer = self._find_next(now + AHEAD_S)
+            if transfer is None:
+                break
+            spent_s = self._write_next(transfer) / self.bytes_per_s
+            self._free_at = max(self._free_at, now) + spent_s
+            transfer.next_at = now + spent_s / RECEIVER_PART
         if self._queue and self._timer is None:
+            first_at = min(transfer.next_at for transfer in self._queue)
+            delay_s = max(self._free_at, first_at) - AHEAD_S - now
             self._timer = self.reactor.callLater(
-                max(0.0, self._free_at - AHEAD_S - now), self._pump
+                max(LEAST_PAUSE_S, delay_s), self._pump
             )
 
+    def _find_next(self, until: float) -> _Transfer | None:
+        """Returns the first transfer whose receiver can take more.
+
+        Only the first one of each owner counts, which keeps streams in order.
+        """
+        seen: set[int] = set()
+        for transfer in self._queue:
+            if id(transfer.owner) in seen:
+                continue
+            seen.add(id(transfer.owner))
+            if transfer.next_at <= until:
+                return transfer
+        return None
+
     def _write_next(self, transfer: _Transfer) -> int:
         """Writes the next part; returns its size."""
         start = transfer.sent
