--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -122,6 +122,9 @@
             self.journal,
             make_target,
         )
+        self.reactor.addSystemEventTrigger(
+            "before", "shutdown", self._kill_nodes
+        )
         self._callers = callers.Callers(
             self.reactor,
             self.journal,
@@ -164,6 +167,11 @@
         await deployment.wait_all_ended(self.hosts, STOP_S)
         self._callers.close()
 
+    def _kill_nodes(self) -> None:
+        """Leaves no node behind when the run itself is stopped."""
+        for host in self.hosts:
+            host.kill()
+
     def publish(self) -> None:
         """Writes the next version, with a route of its own."""
         now = self.reactor.seconds()
