--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import itertools
 import signal
 from typing import Any
 from typing import Final
@@ -40,7 +39,6 @@
     journal: records.Journal
     publish: Callable[[], None]
     problems: list[str] = attrs.field(factory=list)
-    _numbers: Any = attrs.field(factory=itertools.count)
 
     def carry_out(self, step: steps.Step) -> None:
         """Begins a step."""
