End a call on a silent store connection within 2 s

Calls were handled by an older version for up to 4.8 s after all open connections had gone silent: each watch waited 4 s and 0.8 s more for its answer, at both watchers of a region at once, which is longer than a host needs to count as undisturbed (3 s). A host that takes over could also pick a pooled connection that had been idle for up to 30 s.

A watch now waits 1.4 s and its answer must begin within 0.6 s more; an answer that has begun has 2 s more, so that large values still arrive. Calls of the watchers rise from one in 4 s to one in 1.4 s each.

test_a_watch_on_a_silent_connection_ends_soon and test_idle_connections_are_closed_at_the_limit_of_their_pool fail on the code before.

--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -35,9 +35,9 @@
 # of new versions when one of them fails.
 WATCHERS: Final = 2
 # Time for which the store holds a watch open, in seconds. It bounds how long a
-# connection that went silent stays undetected; meanwhile the other watcher
-# reports changes.
-WATCH_TIMEOUT_S: Final = 4.0
+# connection that went silent stays undetected, at all watchers at once if all
+# connections go silent.
+WATCH_TIMEOUT_S: Final = 1.4
 # A starting host first waits until it knows the watchers: at most this long for
 # the list of hosts, and then for their records, in seconds. If all hosts read
 # the configuration at once, the links between regions would be overloaded.
--- a/libs/transport/src/filbertlift_transport/client.py
+++ b/libs/transport/src/filbertlift_transport/client.py
@@ -150,11 +150,16 @@
     """
 
     def __init__(
-        self, reactor: Any, address: model.Address, max_connections: int
+        self,
+        reactor: Any,
+        address: model.Address,
+        max_connections: int,
+        idle_limit_s: float = IDLE_LIMIT_S,
     ) -> None:
         self._reactor = reactor
         self._address = address
         self._max_connections = max_connections
+        self._idle_limit_s = idle_limit_s
         self._host = f"Host: {address}\r\n"
         self._connections: set[ClientConnection] = set()
         self._idle: list[ClientConnection] = []
@@ -163,10 +168,22 @@
 
     @classmethod
     def from_address(
-        cls, reactor: Any, address: model.Address, max_connections: int
+        cls,
+        reactor: Any,
+        address: model.Address,
+        max_connections: int,
+        idle_limit_s: float = IDLE_LIMIT_S,
     ) -> "HttpPool":
-        """Returns a pool for a target; connections are opened on demand."""
-        return cls(reactor, address, max_connections)
+        """Returns a pool for a target; connections are opened on demand.
+
+        Args:
+            reactor: the reactor.
+            address: address of the target.
+            max_connections: highest number of connections.
+            idle_limit_s: time after which an idle connection may be closed, in
+                seconds; it is closed after twice this time at the latest.
+        """
+        return cls(reactor, address, max_connections, idle_limit_s)
 
     @property
     def connections(self) -> int:
@@ -242,7 +259,7 @@
         self._idle.append(connection)
         if self._idle_timer is None:
             self._idle_timer = self._reactor.callLater(
-                IDLE_LIMIT_S, self._close_idle
+                self._idle_limit_s, self._close_idle
             )
 
     def remove(self, connection: ClientConnection) -> None:
@@ -253,7 +270,7 @@
 
     def _close_idle(self) -> None:
         self._idle_timer = None
-        cutoff = self._reactor.seconds() - IDLE_LIMIT_S
+        cutoff = self._reactor.seconds() - self._idle_limit_s
         for connection in list(self._idle):
             if connection.idle_since <= cutoff:
                 connection.drop()
--- a/libs/transport/tests/test_client.py
+++ b/libs/transport/tests/test_client.py
@@ -20,10 +20,14 @@
 class PoolFixture:
     """A pool whose target is simulated by the test."""
 
-    def __init__(self, max_connections: int = 2) -> None:
+    def __init__(
+        self,
+        max_connections: int = 2,
+        idle_limit_s: float = client.IDLE_LIMIT_S,
+    ) -> None:
         self.clock = testing.MemoryReactorClock()
         self.pool = client.HttpPool.from_address(
-            self.clock, ADDRESS, max_connections
+            self.clock, ADDRESS, max_connections, idle_limit_s
         )
         self.events: list[Any] = []
         self.failures: list[client.ClientFailure] = []
@@ -83,6 +87,16 @@
     assert fixture.pool.connections == 0
 
 
+def test_idle_connections_are_closed_at_the_limit_of_their_pool() -> None:
+    """Guards against calls on a connection that went silent while idle."""
+    fixture = PoolFixture(idle_limit_s=1.0)
+    fixture.request()
+    connection, _transport = fixture.connect()
+    connection.dataReceived(OK)
+    fixture.clock.pump([0.1] * 11)
+    assert fixture.pool.connections == 0
+
+
 @pytest.mark.parametrize(
     ("data", "reason"),
     [
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -129,6 +129,39 @@
     assert pool.requests[-1][4].is_over
 
 
+def test_a_watch_on_a_silent_connection_ends_soon(platform_store, pool, clock):
+    """Guards against versions that are late by the timeout of a watch."""
+    done = platform_store.watch("k", 7, 1.0)
+    clock.advance(1.0 + store.WATCH_GRACE_S)
+    assert isinstance(read_error(done), exceptions.StoreUncertain)
+    assert pool.requests[-1][4].is_over
+
+
+def test_a_long_answer_to_a_watch_has_more_time(platform_store, pool, clock):
+    """Guards against a watch that fails while large values arrive."""
+    found = platform_store.watch("k", 7, 1.0)
+    events = pool.requests[-1][3]
+    clock.advance(1.5)
+    events.on_head(200, (), None)
+    clock.advance(store.CALL_TIMEOUT_S - 0.1)
+    content = {"events": [make_item(8)], "currentRev": 8}
+    events.on_data(json.dumps(content).encode())
+    events.on_end()
+    assert found.result.revision == 8
+
+
+def test_an_answer_without_an_end_is_given_up(platform_store, pool, clock):
+    """Guards against a call that receives bytes for ever."""
+    done = platform_store.get("k")
+    events = pool.requests[-1][3]
+    events.on_head(200, (), None)
+    for _ in range(40):
+        clock.advance(0.1)
+        if not done.called:
+            events.on_data(b"x")
+    assert isinstance(read_error(done), exceptions.StoreUncertain)
+
+
 def test_a_lapsed_lease_is_reported(platform_store, pool):
     done = platform_store.keep_lease("5")
     pool.answer(404, {})
