Request a version from one peer after another until it arrives

Callers saw calls handled by an older version although it was known that a newer one existed: a host asked one near peer, read the store once after 0.8 s, and then waited for another datagram that carried the version. A lost peer, a slow link and a store that refused the host each cost a second or more. A host that heard of a version from another region only never asked for it there.

The hosts that reported a version are now kept; one after another is asked, each 0.4 s at first, near ones before those of other regions, which have to send only the difference. The store is read as before, and again if that fails. versions.heard logs when and from whom a host first heard of a version. A host whose last read of the store is outdated reads the key instead of a watch that would return the values of all changes since.

test_a_version_is_requested_from_other_peers_until_it_arrives, test_a_version_is_requested_from_another_region_when_no_near_peer_has_it and test_an_outdated_watcher_reads_the_key_again fail on the code before.

--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -2,7 +2,8 @@
 
 In each region a few hosts watch the store. The others learn of a version from
 peers and fetch it from a peer in their region, so that the number of store
-calls and the bytes between regions do not grow with the number of hosts.
+calls and the bytes between regions do not grow with the number of hosts. A
+version that is known to exist is requested until it has arrived.
 
 Unlike `filbertlift_node.versions`, it reads the store itself, and exchanges
 neither floors nor the age of versions.
@@ -22,6 +23,7 @@
 from filbertlift_core import model
 from filbertlift_mesh import configuration
 from filbertlift_mesh import directory
+from filbertlift_mesh import holders
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import exceptions
 from filbertlift_sidecar import frames
@@ -59,6 +61,10 @@
 # known to exist, in seconds, before this host reads it from the store. The
 # store sends the whole value, which occupies a link of 3.5 Mbit/s for 0.7 s.
 PEER_FETCH_S: Final = 0.8
+# Interval at which such a version is requested from another peer, in seconds.
+# It is doubled from the first read of the store on, up to the limit.
+PEER_RETRY_S: Final = 0.4
+MAX_PEER_RETRY_S: Final = 1.6
 # Interval at which a host checks whether it should watch, in seconds.
 RECHECK_INTERVAL_S: Final = 0.2
 
@@ -102,14 +108,20 @@
     recent: handover.RecentVersions = attrs.field(
         factory=handover.RecentVersions
     )
+    # Revision and version of the last read of the store.
     _revision: int = 0
-    # The newest version that any host has, and the newest one that was
-    # requested from a peer of this region.
-    _known_version: int = -1
+    _read_version: int = -1
+    _holders: holders.Holders = attrs.field(factory=holders.Holders)
+    # The newest version that was requested from a peer of this region.
     _requested_version: int = -1
     _rejected: bytes = b""
     _is_closed: bool = False
     _fetch_timer: Any = None
+    # Pause before the next request for a version that is known to exist, and
+    # when this host may read it from the store, in seconds.
+    _retry_s: float = PEER_RETRY_S
+    _read_due_at: float = 0.0
+    _is_reading: bool = False
     _loop: Any = None
 
     @property
@@ -133,29 +145,66 @@
     def learn(self, peer: model.Address, version: int) -> None:
         """Fetches a newer version that a peer has.
 
-        A peer of this region is asked for it. If the version does not arrive
-        in time, it is read from the store.
+        Peers that have it are asked one after another, those of this region
+        first. If the version does not arrive in time, it is also read from the
+        store.
         """
         if version <= self.version:
             return
+        if self._holders.note(peer, version):
+            self.log.log(
+                "versions.heard",
+                version=version,
+                in_force=self.version,
+                peer=peer,
+                near=self._is_near(peer),
+            )
         if self._is_near(peer) and version > self._requested_version:
             self._requested_version = version
-            self.remote.find_link(peer, remotes.BULK).send(
-                frames.ConfigurationRequest(self.version)
-            )
-        if version <= self._known_version:
-            return
-        self._known_version = version
-        if self._fetch_timer is None or not self._fetch_timer.active():
-            self._fetch_timer = self.reactor.callLater(
-                PEER_FETCH_S, self._fetch_from_store
-            )
+            self._request(peer)
+        if self._fetch_timer is None:
+            self._start_fetch()
 
     def _is_near(self, peer: model.Address) -> bool:
         record = self.table.find_record(peer)
         region = self.table.own.place.region
         return record is not None and record.place.region == region
 
+    def _request(self, peer: model.Address) -> None:
+        self._holders.note_asked(peer)
+        self.remote.find_link(peer, remotes.BULK).send(
+            frames.ConfigurationRequest(self.version)
+        )
+
+    def _start_fetch(self) -> None:
+        """Starts the timer of the requests for a version known to exist."""
+        self._read_due_at = self.reactor.seconds() + PEER_FETCH_S
+        self._retry_s = PEER_RETRY_S
+        self._schedule_fetch()
+
+    def _schedule_fetch(self) -> None:
+        self._fetch_timer = self.reactor.callLater(
+            self._retry_s, self._repeat_fetch
+        )
+
+    def _repeat_fetch(self) -> None:
+        """Asks another peer, and the store once peers had time to answer."""
+        self._fetch_timer = None
+        if self._holders.newest <= self.version:
+            return
+        # Without a version in force the reply is a whole value. Only few hosts
+        # of a region may fetch that from another region.
+        has_base = self.version >= 0
+        is_read_due = self.reactor.seconds() >= self._read_due_at
+        if has_base or is_read_due:
+            peer = self._holders.choose(self._is_near, has_base)
+            if peer is not None:
+                self._request(peer)
+        if is_read_due:
+            self._retry_s = min(MAX_PEER_RETRY_S, 2.0 * self._retry_s)
+            self._read_store()
+        self._schedule_fetch()
+
     def receive(self, link: peerlink.PeerLink, message: frames.Message) -> None:
         """Handles a message of a peer about configurations."""
         if isinstance(message, frames.ConfigurationRequest):
@@ -180,18 +229,26 @@
             return
         self._apply(value, "peer")
 
-    def _fetch_from_store(self) -> None:
-        if self._known_version <= self.version or self._is_closed:
+    def _read_store(self) -> None:
+        if self._is_reading:
             return
+        self._is_reading = True
         found = self.store.get(self.key)
-        found.addCallbacks(self._apply_entry, self._note_failed_fetch)
+        found.addCallbacks(self._finish_read, self._note_failed_read)
+
+    def _finish_read(self, entry: interface.Entry | None) -> None:
+        self._is_reading = False
+        if not self._is_closed:
+            self._apply_entry(entry)
 
-    def _note_failed_fetch(self, reason: Any) -> None:
+    def _note_failed_read(self, reason: Any) -> None:
+        self._is_reading = False
         reason.trap(store_exceptions.StoreError)
-        # The next datagram that carries the version starts another attempt.
-        self._known_version = self._requested_version = self.version
         self.log.log_request(
-            "versions.fetch-failed", error=reason.getErrorMessage()
+            "versions.fetch-failed",
+            error=reason.getErrorMessage(),
+            version=self._holders.newest,
+            in_force=self.version,
         )
 
     async def _watch(self) -> None:
@@ -239,7 +296,12 @@
         await task.deferLater(self.reactor, delay_s, _do_nothing)
 
     async def _read_next(self) -> interface.Entry | None:
-        if self._revision == 0:
+        """Reads the key, or watches it if its last read is not outdated.
+
+        A watch from an outdated revision would be answered with the values of
+        all changes since.
+        """
+        if self._revision == 0 or self._read_version != self.version:
             return await self.store.get(self.key)
         return await self.store.watch(self.key, self._revision, WATCH_TIMEOUT_S)
 
@@ -263,9 +325,12 @@
 
     def _apply_entry(self, entry: interface.Entry | None) -> bool:
         if entry is None or entry.revision <= self._revision:
+            self._read_version = self.version
             return False
         self._revision = entry.revision
-        return self._apply(entry.value, "store")
+        is_new = self._apply(entry.value, "store")
+        self._read_version = self.version
+        return is_new
 
     def _apply(self, value: bytes, source: str) -> bool:
         """Puts a configuration in force if it is valid and newer."""
@@ -294,9 +359,20 @@
         )
         self.current = found
         self.recent.add(found.version, value)
+        self._holders.drop_older(found.version)
+        self._restart_fetch()
         self.events.on_version(found)
         return True
 
+    def _restart_fetch(self) -> None:
+        """Gives peers the whole time again for a still newer version."""
+        if self._fetch_timer is None:
+            return
+        self._fetch_timer.cancel()
+        self._fetch_timer = None
+        if self._holders.newest > self.version:
+            self._start_fetch()
+
     def _log_fault(self, reason: Any) -> None:
         if reason.check(defer.CancelledError) and self._is_closed:
             return
--- a/libs/sidecar/tests/test_versions.py
+++ b/libs/sidecar/tests/test_versions.py
@@ -64,6 +64,9 @@
         self.in_force = []
         self.store_answers = []
         self.link = FakeLink()
+        self.silent = set()
+        self.asked = []
+        self.send_heartbeats()
         store = interface.Store(
             **dict.fromkeys(
                 (f.name for f in attrs.fields(interface.Store)), None
@@ -89,9 +92,17 @@
             lambda: True,
         )
 
-    def find_link(self, _address, _lane):
+    def find_link(self, address, _lane):
+        self.asked.append(address)
         return self.link
 
+    def send_heartbeats(self):
+        """Lets all other hosts but the silent ones be heard."""
+        now = self.clock.seconds()
+        for record in self.table.list_live(now):
+            if record.address not in self.silent:
+                self.table.note_heard(record.address, now)
+
     def read(self, what):
         deferred = defer.Deferred()
         self.reads.append((what, deferred))
@@ -101,7 +112,9 @@
         self.reads[-1][1].callback(interface.Entry(value, revision))
 
     def wait(self, seconds):
-        self.clock.pump([0.05] * round(seconds / 0.05))
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.send_heartbeats()
 
     @property
     def numbers(self):
@@ -226,3 +239,46 @@
     for peer in near:
         host.versions.learn(peer.address, 7)
     assert host.link.sent == [frames.ConfigurationRequest(-1)]
+
+
+def test_a_version_is_requested_from_other_peers_until_it_arrives(bench):
+    """Guards against a version that waits for another datagram.
+
+    The asked peer has lost power, and the store refuses this host.
+    """
+    bench.answer(b"5", 10)
+    peers = [make_record(n) for n in (2, 3, 4)]
+    bench.table.merge_records(peers, bench.clock.seconds())
+    for peer in peers:
+        bench.versions.learn(peer.address, 7)
+    for _ in range(40):
+        bench.wait(0.05)
+        done = bench.reads[-1][1]
+        if not done.called:
+            done.errback(store_exceptions.StoreUnavailable("503"))
+    assert set(bench.asked) == {peer.address for peer in peers}
+
+
+def test_a_version_is_requested_from_another_region_when_no_near_peer_has_it():
+    """Guards against a region that waits for its own lost watchers."""
+    far = make_record(2, place=model.Place("south", "s-1"))
+    host = Bench(far)
+    host.versions.start()
+    host.wait(0.5)
+    host.answer(b"5", 10)
+    host.versions.learn(far.address, 7)
+    assert host.asked == []
+    host.wait(versions.PEER_RETRY_S + 0.1)
+    assert host.asked == [far.address]
+
+
+def test_an_outdated_watcher_reads_the_key_again(bench):
+    """Guards against a watch that is answered with all changes since."""
+    bench.answer(b"5", 10)
+    bench.wait(0.5)
+    bench.versions.receive(
+        None, frames.ConfigurationReply(7, zlib.compress(b"7"))
+    )
+    bench.reads[-1][1].errback(store_exceptions.StoreUncertain("timeout"))
+    bench.wait(1.0)
+    assert bench.reads[-1][0] == ("get", "key")
