Replace a lost watcher of a region within 1.5 s

Callers of undisturbed hosts saw calls handled by an older version: when the two hosts of a region that watch the store lost power, the next by rank watched only once the directory had dropped them, after 8 s. Until then the region heard of versions from the other region alone, and if its watchers were lost too, from nobody.

The six hosts of a region with the highest ranks send one another a datagram each 0.4 s. One of them watches if it has heard fewer than two hosts of higher rank within 1.3 s. Only messages that came directly count, since heartbeats and records of a lost host are passed on for seconds. Hosts that the store does not answer go last, so that an outage of the store no longer makes every host of a region a watcher, which all read the whole value on its return. Such a host renews its lease every 2 to 3 s, at a tenth of the price of a read, to notice when the store answers it again.

--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -99,7 +99,9 @@
 class _Entry:
     record: HostRecord
     beat: int
+    # When a message last arrived directly or through others, and directly.
     heard_at: float
+    contacted_at: float = float("-inf")
 
 
 @attrs.frozen
@@ -201,6 +203,14 @@
         if now - entry.heard_at > SILENCE_TIMEOUT_S:
             self.changes += 1
         entry.heard_at = now
+        entry.contacted_at = now
+
+    def is_in_contact(
+        self, address: model.Address, now: float, within_s: float
+    ) -> bool:
+        """Returns whether a host sent a message directly within this time."""
+        entry = self._entries.get(address)
+        return entry is not None and now - entry.contacted_at <= within_s
 
     def make_digest(self, now: float) -> list[DigestRow]:
         """Returns the digest: a row for each host that is not silent."""
--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -19,6 +19,7 @@
 
 from filbertlift_core import model
 from filbertlift_mesh import directory
+from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
 
 # Mean interval between two rounds, in seconds.
@@ -109,6 +110,7 @@
         self._read_version = read_version
         self._port: Any = None
         self._round_timer: Any = None
+        self._group_timer: Any = None
 
     def start(self) -> None:
         """Opens the port and starts the rounds.
@@ -120,12 +122,18 @@
         self._port = self._reactor.listenUDP(
             own.port, self, interface=own.host, maxPacketSize=65_536
         )
+        self.start_rounds()
+
+    def start_rounds(self) -> None:
+        """Starts the rounds and the heartbeats of the group."""
         self._schedule_round()
+        self._schedule_group_beat()
 
     def close(self) -> None:
         """Stops the rounds and closes the port."""
-        if self._round_timer is not None and self._round_timer.active():
-            self._round_timer.cancel()
+        for timer in (self._round_timer, self._group_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         if self._port is not None:
             self._port.stopListening()
 
@@ -177,7 +185,6 @@
     def _receive(self, peer: model.Address, message: _Datagram) -> None:
         now = self._reactor.seconds()
         table = self._table
-        table.note_heard(peer, now)
         try:
             records = [_decode_record(row) for row in message.records]
         except ValueError as error:
@@ -185,6 +192,7 @@
             return
         if table.merge_records(records, now):
             self._events.on_records()
+        table.note_heard(peer, now)
         if message.rows:
             difference = table.merge_digest(
                 [_decode_row(row) for row in message.rows], now
@@ -220,6 +228,17 @@
         delay_s = ROUND_INTERVAL_S * (0.9 + 0.2 * self._rng.random())
         self._round_timer = self._reactor.callLater(delay_s, self._run_round)
 
+    def _schedule_group_beat(self) -> None:
+        self._group_timer = self._reactor.callLater(
+            watchers.GROUP_BEAT_INTERVAL_S, self._send_group_beat
+        )
+
+    def _send_group_beat(self) -> None:
+        self._schedule_group_beat()
+        now = self._reactor.seconds()
+        for record in watchers.list_group_peers(self._table, now):
+            self._send(record.address, _VERSION_ONLY)
+
     def _run_round(self) -> None:
         self._schedule_round()
         table = self._table
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -26,6 +26,10 @@
 # seconds; the second one is for a host that knows no live peer.
 RENEW_INTERVAL_S: Final = 200.0
 ALONE_INTERVAL_S: Final = 2.0
+# Interval at which the lease is renewed while the store does not answer this
+# host, in seconds. A renewal is the cheapest call, and its answer shows that
+# the host may watch the store again.
+PROBE_INTERVAL_S: Final = 2.0
 # Backoff after a failed call to the store, in seconds, doubled before each
 # pause; and its largest random part, as a share.
 INITIAL_BACKOFF_S: Final = 0.2
@@ -53,6 +57,7 @@
     log: eventlog.EventLog
     rng: random.Random
     is_listed: bool = False
+    _list_due_at: float = float("-inf")
     _lease: str = ""
     _is_closed: bool = False
     _loop: Any = None
@@ -82,7 +87,9 @@
         while not self._is_closed:
             try:
                 await self._renew()
-                await self._read_list()
+                self.on_store(True)
+                if self.reactor.seconds() >= self._list_due_at:
+                    await self._read_list()
             except store_exceptions.StoreError as error:
                 self.log.log_request("registry.failed", error=error)
                 pause_s = min(MAX_BACKOFF_S, 2.0 * pause_s)
@@ -91,7 +98,16 @@
                 )
                 continue
             pause_s = INITIAL_BACKOFF_S
-            await self._pause(self._get_interval())
+            await self._wait_for_renewal()
+
+    async def _wait_for_renewal(self) -> None:
+        """Waits until the list is due, or until the store has failed."""
+        while self.reactor.seconds() < self._list_due_at:
+            left_s = self._list_due_at - self.reactor.seconds()
+            jitter = 1.0 + BACKOFF_JITTER * self.rng.random()
+            await self._pause(min(left_s, PROBE_INTERVAL_S * jitter))
+            if not self.table.own.has_store:
+                return
 
     async def _renew(self) -> None:
         if self._lease:
@@ -115,7 +131,6 @@
         assert self.store.list_prefix is not None
         is_first = not self.is_listed
         entries = await self.store.list_prefix(ROOT)
-        self.on_store(True)
         live = self.table.list_live(self.reactor.seconds())
         known = {self.table.own.address, *(item.address for item in live)}
         addresses = [_read_address(key) for key in entries]
@@ -127,6 +142,7 @@
             ]
         )
         self.is_listed = True
+        self._list_due_at = self.reactor.seconds() + self._get_interval()
         left = entries.get(DEPARTURE_PREFIX + str(self.table.own.address))
         if is_first and left is not None:
             self.restore(left.value)
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Callable
-import hashlib
 import random
 from typing import Any
 from typing import Final
@@ -24,6 +23,7 @@
 from filbertlift_mesh import configuration
 from filbertlift_mesh import directory
 from filbertlift_mesh import holders
+from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import exceptions
 from filbertlift_sidecar import frames
@@ -33,13 +33,13 @@
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
 
-# Hosts of a region that watch the store; two, so that the region still learns
-# of new versions when one of them fails.
-WATCHERS: Final = 2
 # Time for which the store holds a watch open, in seconds. It bounds how long a
 # connection that went silent stays undetected, at all watchers at once if all
 # connections go silent.
 WATCH_TIMEOUT_S: Final = 1.4
+# The same for a host that the store did not answer last, so that an answer soon
+# shows that it is back.
+PROBE_TIMEOUT_S: Final = 0.1
 # A starting host first waits until it knows the watchers: at most this long for
 # the list of hosts, and then for their records, in seconds. If all hosts read
 # the configuration at once, the links between regions would be overloaded.
@@ -303,25 +303,16 @@
         """
         if self._revision == 0 or self._read_version != self.version:
             return await self.store.get(self.key)
-        return await self.store.watch(self.key, self._revision, WATCH_TIMEOUT_S)
+        has_store = self.table.own.has_store
+        return await self.store.watch(
+            self.key,
+            self._revision,
+            WATCH_TIMEOUT_S if has_store else PROBE_TIMEOUT_S,
+        )
 
     def _is_watcher(self) -> bool:
         """Returns whether this host is one of the watchers of its region."""
-        own = self.table.own
-        if own.is_leaving:
-            return False
-        candidates = [
-            record
-            for record in self.table.list_live(self.reactor.seconds())
-            if record.place.region == own.place.region
-            and record.has_store
-            and not record.is_leaving
-        ]
-        rank = rank_watcher(own)
-        higher_ranked = sum(
-            1 for record in candidates if rank_watcher(record) > rank
-        )
-        return higher_ranked < WATCHERS
+        return watchers.is_watcher(self.table, self.reactor.seconds())
 
     def _apply_entry(self, entry: interface.Entry | None) -> bool:
         if entry is None or entry.revision <= self._revision:
@@ -379,17 +370,5 @@
         self.log.log("versions.fault", error=reason.getErrorMessage())
 
 
-def rank_watcher(record: directory.HostRecord) -> tuple[int, int]:
-    """Returns the rank of a host as a watcher; the highest ranks watch.
-
-    Watchers read every version from the store and send it to others, so hosts
-    with a wide link rank higher. Among similar links the order is pseudo-random
-    but the same on all hosts.
-    """
-    text = str(record.address).encode()
-    digest = hashlib.blake2b(text, digest_size=8).digest()
-    return record.link_kbps.bit_length(), int.from_bytes(digest)
-
-
 def _do_nothing() -> None:
     """Callback of a pause."""
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -8,6 +8,7 @@
 
 from filbertlift_core import model
 from filbertlift_mesh import directory
+from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import gossip
 
@@ -142,6 +143,19 @@
     }
 
 
+def test_members_of_the_group_hear_one_another(network):
+    """Guards against watchers that are taken for lost."""
+    for host in network.hosts.values():
+        host._schedule_group_beat()
+    network.run(watchers.GROUP_SILENCE_S + 1.0)
+    now = network.clock.seconds()
+    for host in network.hosts.values():
+        for record in watchers.list_group_peers(host._table, now):
+            assert host._table.is_in_contact(
+                record.address, now, watchers.GROUP_SILENCE_S
+            )
+
+
 @pytest.mark.parametrize("data", [b"", b"x", b"\x95\x01", b"\xff" * 99])
 def test_a_malformed_datagram_changes_nothing(network, data):
     network.hosts[1].datagramReceived(data, ("10.0.0.2", 7000))
--- /dev/null
+++ b/libs/sidecar/tests/test_registry.py
@@ -0,0 +1,102 @@
+"""Tests of this host's entry in the store."""
+
+import random
+
+import attrs
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
+from filbertlift_core import model
+from filbertlift_mesh import directory
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import registry
+from filbertlift_store import exceptions
+from filbertlift_store import interface
+
+OTHER = model.Address("10.0.0.2", 7000)
+
+
+def make_record(address):
+    place = model.Place("north", "n-1")
+    return directory.HostRecord(address, 1, 0, place, False, None, False)
+
+
+class Bench:
+    """A registry whose store answers at once, or fails."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.calls = []
+        self.is_down = False
+        self.table = directory.Directory(
+            make_record(model.Address("10.0.0.1", 7000))
+        )
+        self.table.merge_records([make_record(OTHER)], 0.0)
+        empty = dict.fromkeys(
+            (field.name for field in attrs.fields(interface.Store)), None
+        )
+        store = interface.Store(
+            **{
+                **empty,
+                "grant_lease": lambda _ttl: self.call("grant", "1"),
+                "keep_lease": lambda _lease: self.call("keep", None),
+                "put_leased": lambda *_: self.call("put", None),
+                "list_prefix": lambda _prefix: self.call("list", {}),
+            }
+        )
+        self.registry = registry.Registry(
+            self.clock,
+            store,
+            self.table,
+            lambda _addresses: None,
+            self.note_store,
+            lambda _value: None,
+            eventlog.EventLog(self.clock.seconds, lambda _data: True),
+            random.Random(1),
+        )
+
+    def call(self, name, result):
+        self.calls.append(name)
+        if self.is_down:
+            return defer.fail(exceptions.StoreUnavailable("503"))
+        return defer.succeed(result)
+
+    def note_store(self, has_store):
+        self.table.update_own(attrs.evolve(self.table.own, has_store=has_store))
+
+    def wait(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.table.note_heard(OTHER, self.clock.seconds())
+
+
+@pytest.fixture
+def bench():
+    host = Bench()
+    host.registry.start()
+    return host
+
+
+def test_a_host_registers_and_reads_the_list_once(bench):
+    bench.wait(100.0)
+    assert bench.calls == ["grant", "put", "list"]
+    assert bench.table.own.has_store
+
+
+def test_the_lease_is_renewed_when_it_is_due(bench):
+    bench.wait(registry.RENEW_INTERVAL_S + 1.0)
+    assert bench.calls[3:] == ["keep", "list"]
+
+
+def test_a_host_notices_that_the_store_answers_it_again(bench):
+    """Guards against a host that never watches again after an outage."""
+    bench.wait(10.0)
+    bench.is_down = True
+    bench.note_store(False)
+    bench.wait(10.0)
+    assert not bench.table.own.has_store
+    bench.is_down = False
+    bench.wait(4.0)
+    assert bench.table.own.has_store
+    assert set(bench.calls[3:]) == {"keep"}
--- a/libs/sidecar/tests/test_versions.py
+++ b/libs/sidecar/tests/test_versions.py
@@ -12,6 +12,7 @@
 from filbertlift_mesh import configuration
 from filbertlift_mesh import directory
 from filbertlift_mesh import exceptions
+from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import handover
@@ -169,7 +170,7 @@
 
 def test_only_two_hosts_of_a_region_watch():
     records = [make_record(number) for number in range(2, 9)]
-    ranked = sorted(records, key=versions.rank_watcher)
+    ranked = sorted(records, key=watchers.rank_watcher)
     for record in records:
         others = [other for other in records if other is not record]
         host = Bench(*others, own=record)
@@ -241,6 +242,24 @@
     assert host.link.sent == [frames.ConfigurationRequest(-1)]
 
 
+def test_another_host_watches_when_a_watcher_falls_silent():
+    """Guards against late versions after a watcher has lost power.
+
+    Its heartbeats are missed sooner than the directory drops it.
+    """
+    wide = [make_record(n, link_kbps=140_000) for n in (2, 3)]
+    host = Bench(*wide, own=make_record(1, link_kbps=7_000))
+    host.versions.start()
+    host.versions.receive(
+        None, frames.ConfigurationReply(5, zlib.compress(b"5"))
+    )
+    host.wait(3.0)
+    assert host.reads == []
+    host.silent.add(wide[0].address)
+    host.wait(watchers.GROUP_SILENCE_S + 0.3)
+    assert host.reads
+
+
 def test_a_version_is_requested_from_other_peers_until_it_arrives(bench):
     """Guards against a version that waits for another datagram.
 
