Let watchers announce a version to their region, and to others

Callers of undisturbed hosts saw calls handled by an older version after many hosts had lost power: a version is forwarded to four hosts of the region that are still listed, most of which may be gone for 8 s. Even without a loss one host in fifty is missed and waits a second for a digest.

A watcher sends a version to up to 48 hosts of its region, one for each Mbit/s of its link, and to four hosts of each other region. Every host forwards it to four near hosts twice, 0.25 s apart. Replies to hosts with the same version in force are encoded once.

--- a/libs/sidecar/src/filbertlift_sidecar/gossip.py
+++ b/libs/sidecar/src/filbertlift_sidecar/gossip.py
@@ -30,9 +30,20 @@
 FAR_SHARE: Final = 0.2
 # Share of the rounds that also send a digest to a silent host.
 SILENT_SHARE: Final = 0.5
-# Random peers to which each host forwards a new version; three or four steps
-# reach a hundred hosts.
+# Random peers to which each host forwards a new version, and how often; three
+# or four steps reach a hundred hosts. Forwarded once, a version misses one host
+# in fifty, and each lost datagram adds to them.
 FANOUT: Final = 4
+FORWARDS: Final = 2
+FORWARD_INTERVAL_S: Final = 0.25
+# Random peers to which a watcher sends a new version itself: one for each
+# Mbit/s of its link, since most of them fetch it there, up to this number.
+# After the loss of many hosts few of those that are still listed are running.
+MAX_WATCHER_FANOUT: Final = 48
+KBPS_PER_RECEIVER: Final = 1_000
+# Random hosts of each other region to which a watcher sends a new version, in
+# case the watchers of that region are lost or cannot reach the store.
+FAR_FANOUT: Final = 4
 # Hosts to which a starting host sends a digest, to get their records.
 GREETED_HOSTS: Final = 3
 # Limits the records of one datagram, so that it stays well below 64 KB.
@@ -111,6 +122,7 @@
         self._port: Any = None
         self._round_timer: Any = None
         self._group_timer: Any = None
+        self._forward_timer: Any = None
 
     def start(self) -> None:
         """Opens the port and starts the rounds.
@@ -131,7 +143,8 @@
 
     def close(self) -> None:
         """Stops the rounds and closes the port."""
-        for timer in (self._round_timer, self._group_timer):
+        timers = (self._round_timer, self._group_timer, self._forward_timer)
+        for timer in timers:
             if timer is not None and timer.active():
                 timer.cancel()
         if self._port is not None:
@@ -156,17 +169,52 @@
             self._send(record.address, _RECORDS, records=[self._table.own])
 
     def announce_version(self) -> None:
-        """Sends the version in force to some random peers of this region.
+        """Sends the version in force to some random peers, twice.
 
-        Other regions have their own watchers. If those are cut off from the
-        store, the digests still carry the version to them.
+        Only a watcher sends it to other regions, which have watchers of their
+        own.
         """
-        region = self._table.own.place.region
-        live = self._table.list_live(self._reactor.seconds())
-        near = [item for item in live if item.place.region == region]
-        for record in self._rng.sample(near, min(FANOUT, len(near))):
+        if self._forward_timer is not None and self._forward_timer.active():
+            self._forward_timer.cancel()
+        now = self._reactor.seconds()
+        is_watcher = watchers.is_watcher(self._table, now)
+        self._forward_version(self._get_fanout(is_watcher), FORWARDS)
+        if is_watcher:
+            self._send_version_far()
+
+    def _get_fanout(self, is_watcher: bool) -> int:
+        if not is_watcher:
+            return FANOUT
+        receivers = self._table.own.link_kbps // KBPS_PER_RECEIVER
+        return max(FANOUT, min(MAX_WATCHER_FANOUT, receivers))
+
+    def _forward_version(self, fanout: int, remaining: int) -> None:
+        near = self._group_live_by_region().get(
+            self._table.own.place.region, []
+        )
+        self._send_version(near, fanout)
+        if remaining > 1:
+            self._forward_timer = self._reactor.callLater(
+                FORWARD_INTERVAL_S, self._forward_version, FANOUT, remaining - 1
+            )
+
+    def _send_version_far(self) -> None:
+        for region, records in self._group_live_by_region().items():
+            if region != self._table.own.place.region:
+                self._send_version(records, FAR_FANOUT)
+
+    def _send_version(
+        self, records: list[directory.HostRecord], count: int
+    ) -> None:
+        for record in self._rng.sample(records, min(count, len(records))):
             self._send(record.address, _VERSION_ONLY)
 
+    def _group_live_by_region(self) -> dict[str, list[directory.HostRecord]]:
+        regions: dict[str, list[directory.HostRecord]] = {}
+        for record in self._table.list_live(self._reactor.seconds()):
+            regions.setdefault(record.place.region, []).append(record)
+        return regions
+
     # Twisted's protocol interface.
 
     def datagramReceived(  # noqa: N802
--- a/libs/sidecar/src/filbertlift_sidecar/handover.py
+++ b/libs/sidecar/src/filbertlift_sidecar/handover.py
@@ -32,7 +32,9 @@
 
     version: int = -1
     _values: OrderedDict[int, bytes] = attrs.field(factory=OrderedDict)
-    _compressed: bytes = b""
+    # Replies by the version of the requester. Many peers ask a watcher at once,
+    # most of them with the same version in force.
+    _replies: dict[int, frames.ConfigurationReply] = attrs.field(factory=dict)
 
     @property
     def value(self) -> bytes:
@@ -43,20 +45,28 @@
         """Adds a version that was put in force."""
         self._values[version] = value
         self.version = version
-        self._compressed = b""
+        self._replies.clear()
         while len(self._values) > KEPT_VERSIONS:
             self._values.popitem(last=False)
 
     def make_reply(self, after_version: int) -> frames.ConfigurationReply:
         """Returns a reply with the newest version, as a delta if possible."""
-        base = self._values.get(after_version)
-        if base is None:
-            return frames.ConfigurationReply(self.version, self._compress())
-        delta = deltas.make_delta(base, self.value)
+        base_version = after_version if after_version in self._values else -1
+        reply = self._replies.get(base_version)
+        if reply is None:
+            reply = self._encode_reply(base_version)
+            self._replies[base_version] = reply
+        return reply
+
+    def _encode_reply(self, base_version: int) -> frames.ConfigurationReply:
+        if base_version < 0:
+            data = zlib.compress(self.value)
+            return frames.ConfigurationReply(self.version, data)
+        delta = deltas.make_delta(self._values[base_version], self.value)
         data = zlib.compress(
             msgspec.msgpack.encode((delta.digest, delta.steps))
         )
-        return frames.ConfigurationReply(self.version, data, after_version)
+        return frames.ConfigurationReply(self.version, data, base_version)
 
     def read_reply(self, reply: frames.ConfigurationReply) -> bytes:
         """Returns the value of the version that a peer sent.
@@ -78,11 +88,6 @@
         ) as error:
             raise exceptions.HandoverError(str(error)) from error
 
-    def _compress(self) -> bytes:
-        if not self._compressed:
-            self._compressed = zlib.compress(self.value)
-        return self._compressed
-
 
 def decompress_value(data: bytes) -> bytes:
     """Returns a decompressed value.
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -143,6 +143,39 @@
     }
 
 
+def test_a_watcher_announces_a_version_to_other_regions(network):
+    """Guards against a region whose watchers are lost or have no store."""
+    network.versions = dict.fromkeys(network.hosts, 4)
+    for number in (1, 2, 3, 4):
+        network.versions[number] = 5
+        network.hosts[number].announce_version()
+    network.run(0.2)
+    assert {n for n, version in network.announced if version == 5} & {
+        5,
+        6,
+        7,
+        8,
+    }
+
+
+def test_a_watcher_with_a_wide_link_announces_a_version_to_its_region():
+    """Guards against late versions where most of the listed hosts are lost."""
+    big_network = Network([NORTH[0]] * 30)
+    big_network.start()
+    big_network.run(10)
+    now = big_network.clock.seconds()
+    number = next(
+        number
+        for number, host in big_network.hosts.items()
+        if watchers.is_watcher(host._table, now)
+    )
+    big_network.versions = {number: 5}
+    big_network.hosts[number].announce_version()
+    big_network.run(0.2)
+    reached = {n for n, version in big_network.announced if version == 5}
+    assert reached == set(big_network.hosts) - {number}
+
+
 def test_members_of_the_group_hear_one_another(network):
     """Guards against watchers that are taken for lost."""
     for host in network.hosts.values():
--- a/libs/sidecar/tests/test_handover.py
+++ b/libs/sidecar/tests/test_handover.py
@@ -29,6 +29,15 @@
     assert handover.RecentVersions().read_reply(reply) == SECOND
 
 
+def test_peers_with_the_same_version_get_the_same_reply():
+    """Guards against a watcher that encodes a version for each of its peers."""
+    recent = make_recent(FIRST, SECOND)
+    assert recent.make_reply(1) is recent.make_reply(1)
+    assert recent.make_reply(-1) is recent.make_reply(0)
+    recent.add(3, FIRST)
+    assert recent.make_reply(1).version == 3
+
+
 def test_a_delta_without_its_base_is_refused():
     """Guards against a version that is built from another base."""
     reply = make_recent(FIRST, SECOND).make_reply(1)
--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -374,6 +374,21 @@
     assert fleet.find_late_hosts() == []
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_version_is_in_force_in_time_among_hosts_that_are_mostly_lost(seed):
+    """Guards against announcements that reach only lost hosts."""
+    fleet = Fleet(seed, loss=0.01)
+    watching = fleet.list_watchers()[::2]
+    others = [host for host in fleet.list_hosts() if host not in watching]
+    for host in fleet.rng.sample(others, 30):
+        host.stop()
+    for _ in range(6):
+        fleet.publish()
+        fleet.run(0.5)
+    fleet.run(3.0)
+    assert fleet.find_late_hosts() == []
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_version_is_in_force_in_time_after_connections_went_silent(seed):
     """Guards against watches that wait on a silent connection."""
