--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -103,6 +103,18 @@
     assert pool.read_query()["after"] == "30"
 
 
+def test_a_watch_without_events_does_not_skip_changes(platform_store, pool):
+    """Guards against a version that a watch skips while events are held back.
+
+    The answer names the revision of the store, which may be past a change that
+    the watch was not told of.
+    """
+    platform_store.watch("k", 7, 1.0)
+    pool.answer(200, {"events": [], "currentRev": 12})
+    platform_store.watch("k", 7, 1.0)
+    assert pool.read_query()["after"] == "7"
+
+
 def test_a_watch_returns_the_newest_change_of_its_key(platform_store, pool):
     found = platform_store.watch("k", 7, 4.0)
     events = [
