Give up answers whose head or trailer has no end

A target in trouble may send a status line, a header, interim answers or a trailer without end. The parser keeps an incomplete line in memory, and only complete headers were counted, so the memory of the node grew until the deadline of the call, at the speed of loopback.

test_an_answer_whose_head_has_no_end_is_given_up fails on the code before in 4 of 5 cases (a series of short headers was counted).

--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -209,6 +209,8 @@
         self._is_unusable = False
         self._pending_report: Callable[[], None] | None = None
         self._state = _AnswerState()
+        # Bytes received since the last complete head or part of a body.
+        self._pending_bytes = 0
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Opens the connection."""
@@ -261,6 +263,7 @@
             # Without an outstanding request no bytes are expected.
             self.drop()
             return
+        self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -274,7 +277,9 @@
         if self._request is None:
             self._finish()
             return
-        if not self._is_closed and self._state.head_bytes > MAX_HEAD_BYTES:
+        # The parser keeps an incomplete line, which may have no end.
+        head_bytes = max(self._state.head_bytes, self._pending_bytes)
+        if not self._is_closed and head_bytes > MAX_HEAD_BYTES:
             self._fail("head-too-large", "head of the answer is too large")
 
     def connectionLost(  # noqa: N802
@@ -313,12 +318,14 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._pending_bytes = 0
         self._state.has_head = True
         self._state.status = status
         self._read_framing()
 
     def on_body(self, data: bytes) -> None:
         """A part of the body arrived."""
+        self._pending_bytes = 0
         if self._state.is_mismatched or self._request is None:
             return
         if self._state.is_streaming:
@@ -413,6 +420,7 @@
     def _send(self) -> None:
         assert self._request is not None and self._output is not None
         self._is_sent = True
+        self._pending_bytes = 0
         self._reset()
         self._output.write(self._request.data)
 
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -65,6 +65,32 @@
     assert bench.send("r-2") is first
 
 
+@pytest.mark.parametrize(
+    ("start", "rest"),
+    [
+        (b"HTTP/1.1 200 ", b"a" * 1000),
+        (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Short: a\r\n" * 80),
+        (b"", b"HTTP/1.1 102 Wait\r\nX-Short: a\r\n\r\n" * 30),
+        (
+            b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Long: ",
+            b"a" * 1000,
+        ),
+    ],
+    ids=["status line", "header", "headers", "interim answers", "trailer"],
+)
+def test_an_answer_whose_head_has_no_end_is_given_up(bench, start, rest):
+    """Guards against memory that grows until the target stops sending."""
+    connection = bench.send()
+    connection.dataReceived(start)
+    for _ in range(2 * exchange.MAX_HEAD_BYTES // len(rest)):
+        connection.dataReceived(rest)
+    assert bench.answers == []
+    assert [is_sent for _reason, is_sent in bench.failures] == [True]
+    assert connection.transport.disconnected
+
+
 def test_a_late_answer_to_an_earlier_request_is_ignored(bench):
     """Guards against an answer that is sent to another caller."""
     connection = bench.send("r-2")
@@ -75,6 +101,15 @@
     assert bench.send("r-3") is not connection
 
 
+def test_a_large_late_answer_does_not_count_as_a_head(bench):
+    """Guards against a call that fails because of an answer to another."""
+    connection = bench.send("r-2")
+    late = make_answer("r-1", b"x" * 3 * exchange.MAX_HEAD_BYTES)
+    connection.dataReceived(late)
+    connection.dataReceived(make_answer("r-2", b"new"))
+    assert [a.body for a in bench.answers] == [b"new"]
+
+
 def test_a_second_answer_closes_the_connection(bench):
     connection = bench.send()
     connection.dataReceived(make_answer() + make_answer(body=b"again"))
--- a/libs/transport/src/filbertlift_transport/responses.py
+++ b/libs/transport/src/filbertlift_transport/responses.py
@@ -45,7 +45,8 @@
         self.keeps_alive = False
         self._max_head_bytes = max_head_bytes
         self._head_bytes = 0
-        self._received_bytes = 0
+        # Bytes received since the last complete head or part of the body.
+        self._pending_bytes = 0
         self._headers: list[http.Header] = []
         self._length: int | None = None
         self._is_chunked = False
@@ -57,7 +58,7 @@
         self.has_head = False
         self.is_complete = False
         self.keeps_alive = False
-        self._received_bytes = 0
+        self._pending_bytes = 0
         self._call = call
 
     def feed(self, data: bytes) -> None:
@@ -66,9 +67,7 @@
         Raises:
             ResponseError: if they are malformed or over a limit.
         """
-        if not self.has_head:
-            # Limits an incomplete header line, which the parser buffers.
-            self._received_bytes += len(data)
+        self._pending_bytes += len(data)
         try:
             self._parse(data)
         except ResponseError:
@@ -76,7 +75,9 @@
                 raise
             # The response is complete; only the data after it is invalid.
             self.keeps_alive = False
-        if not self.has_head and self._received_bytes > self._max_head_bytes:
+        # The parser keeps an incomplete line of the head or of the trailer,
+        # which may have no end.
+        if not self.is_complete and self._pending_bytes > self._max_head_bytes:
             raise _make_head_error()
 
     def _parse(self, data: bytes) -> None:
@@ -126,6 +127,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._pending_bytes = 0
         self.has_head = True
         is_bodyless = self._call.is_head or status in (204, 304)
         if is_bodyless:
@@ -143,6 +145,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes on a part of the body."""
+        self._pending_bytes = 0
         if not self._call.is_over and not self._call.is_head:
             self._call.events.on_data(data)
 
