Stop reading a target while its streamed answer waits

A target in trouble may send a body without end. Answers over 2 MB are streamed, and what the link to the peer did not take yet was queued in memory: loopback is faster than any link, so the node grew until the deadline of the call.

The keeper no longer reads the target's connection while queued data occupies the link for over 0.5 s, and checks every 0.05 s. Such an answer ends at the deadline of its call, as before. An answer to a caller on the same host is not paused; its bytes go out over loopback as they come.

--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -37,6 +37,9 @@
 # Answers up to this size are buffered before they are forwarded, so that a
 # truncated one can be replaced by another attempt.
 MAX_BUFFERED_BYTES: Final = 2 * 1024 * 1024
+# Interval at which a connection that is not read checks whether the streamed
+# data was passed on, in seconds.
+RESUME_INTERVAL_S: Final = 0.05
 _BODYLESS_STATUSES: Final = (204, 304)
 
 
@@ -85,6 +88,14 @@
     more: bool
 
 
+BacklogFunction = Callable[[], bool]
+
+
+def never_backlogged() -> bool:
+    """Returns False, for answers whose data never waits."""
+    return False
+
+
 @attrs.frozen
 class ExchangeEvents:
     """Callbacks of one request and its answer.
@@ -96,11 +107,14 @@
             marks the last part.
         on_failure: called when no complete answer will arrive, with the reason
             and whether any byte of the request may have reached the target.
+        is_backlogged: returns whether streamed data waits to be passed on, so
+            that the target should not be read.
     """
 
     on_answer: Callable[[TargetAnswer], None]
     on_data: Callable[[bytes, bool], None]
     on_failure: Callable[[str, bool], None]
+    is_backlogged: BacklogFunction = never_backlogged
 
 
 @attrs.frozen
@@ -204,7 +218,9 @@
         self._events: ExchangeEvents | None = None
         self._is_sent = False
         self._is_closed = False
+        self._reactor: Any = None
         self._connector: Any = None
+        self._is_paused = False
         self._keeps_alive = False
         self._is_unusable = False
         self._pending_report: Callable[[], None] | None = None
@@ -214,6 +230,7 @@
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Opens the connection."""
+        self._reactor = reactor
         self._connector = dialling.dial(
             reactor, address, self, CONNECT_TIMEOUT_S
         )
@@ -331,6 +348,7 @@
         if self._state.is_streaming:
             assert self._events is not None
             self._events.on_data(data, False)
+            self._pause_if_backlogged()
             return
         self._state.parts.append(data)
         self._state.size += len(data)
@@ -366,6 +384,31 @@
                 limit_s = max(0.0, int(text) - IDLE_MARGIN_S)
                 self.idle_limit_s = min(IDLE_LIMIT_S, limit_s)
 
+    def _pause_if_backlogged(self) -> None:
+        """Stops reading while streamed data waits to be passed on.
+
+        A body without end would otherwise fill the memory, since the link to
+        the peer is slower than loopback.
+        """
+        events = self._events
+        if self._is_paused or events is None or not events.is_backlogged():
+            return
+        self._is_paused = True
+        self.transport.pauseProducing()
+        self._schedule_resume()
+
+    def _schedule_resume(self) -> None:
+        self._reactor.callLater(RESUME_INTERVAL_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._is_closed:
+            return
+        if self._events is not None and self._events.is_backlogged():
+            self._schedule_resume()
+            return
+        self._is_paused = False
+        self.transport.resumeProducing()
+
     def _begin_stream(self) -> None:
         assert self._events is not None
         self._state.is_streaming = True
@@ -403,7 +446,8 @@
         report, self._pending_report = self._pending_report, None
         output = self._output
         is_sent = output is not None and not output.is_full
-        if self._keeps_alive and is_sent and not self._is_unusable:
+        is_usable = not self._is_unusable and not self._is_paused
+        if self._keeps_alive and is_sent and is_usable:
             self._pool.put_idle(self)
         else:
             # The unsent rest of a request would go out before the next one.
--- a/libs/sidecar/src/filbertlift_sidecar/inbound.py
+++ b/libs/sidecar/src/filbertlift_sidecar/inbound.py
@@ -1,6 +1,7 @@
 """Calls that other nodes send to the keeper of this node."""
 
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 
@@ -12,6 +13,11 @@
 from filbertlift_sidecar import peerlink
 from filbertlift_sidecar import uplink as uplinks
 
+# Time that queued data may occupy the link before targets of streamed answers
+# are no longer read, in seconds. Their sockets hold more than the link sends
+# until they are read again.
+MAX_STREAM_BACKLOG_S: Final = 0.5
+
 Handler = Callable[[peerlink.PeerLink, frames.Message], None]
 
 
@@ -81,10 +87,15 @@
                 calls.pop(call.stream, None)
             self.uplink.send(link, call.stream, chunk)
 
-        kept = self.keeper.submit(call, send_answer, send_chunk)
+        kept = self.keeper.submit(
+            call, send_answer, send_chunk, self._is_link_backlogged
+        )
         if not kept.is_over:
             calls[call.stream] = kept
 
+    def _is_link_backlogged(self) -> bool:
+        return self.uplink.backlog_s > MAX_STREAM_BACKLOG_S
+
     def _estimate_link_wait(self, call: frames.Call) -> float:
         """Returns how long a large answer would wait for this host's link.
 
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -50,6 +50,7 @@
         on_answer: called with its end, or with the head of a streamed answer.
         on_chunk: called with each further part of a streamed answer.
         is_over: whether its end was reported or nothing waits for it any more.
+        is_backlogged: returns whether streamed data waits to be passed on.
         target_id: target that it was sent to, empty before that.
         is_streaming: whether the head of a streamed answer was reported.
         connection: connection that carries it while it runs.
@@ -60,6 +61,7 @@
     ticket: backlogs.Ticket
     on_answer: AnswerFunction
     on_chunk: ChunkFunction
+    is_backlogged: exchange.BacklogFunction = exchange.never_backlogged
     is_over: bool = False
     target_id: str = ""
     is_streaming: bool = False
@@ -101,11 +103,13 @@
         call: frames.Call,
         on_answer: AnswerFunction,
         on_chunk: ChunkFunction,
+        is_backlogged: exchange.BacklogFunction = exchange.never_backlogged,
     ) -> KeptCall:
         """Starts, queues or refuses a call.
 
         `on_answer` is called with the end of the call, possibly before this
-        method returns.
+        method returns. The target is not read while `is_backlogged` returns
+        that the data of a streamed answer waits to be passed on.
         """
         now = self.reactor.seconds()
         ticket = backlogs.Ticket(
@@ -115,7 +119,7 @@
             now + call.objective_ms / 1000,
             now + call.left_ms / 1000,
         )
-        kept = KeptCall(call, ticket, on_answer, on_chunk)
+        kept = KeptCall(call, ticket, on_answer, on_chunk, is_backlogged)
         reason = self._find_refusal(call, now)
         if reason:
             self._refuse(kept, reason, 0.0)
@@ -208,6 +212,7 @@
                 lambda reason, is_sent: self._receive_failure(
                     kept, reason, is_sent
                 ),
+                kept.is_backlogged,
             ),
         )
 
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -23,6 +23,7 @@
         self.answers = []
         self.failures = []
         self.data = []
+        self.is_backlogged = False
 
     def send(self, request_id="r-1", needs_fresh=False):
         request = exchange.TargetRequest(
@@ -32,6 +33,7 @@
             self.answers.append,
             lambda data, is_last: self.data.append((data, is_last)),
             lambda reason, is_sent: self.failures.append((reason, is_sent)),
+            lambda: self.is_backlogged,
         )
         before = len(self.reactor.tcpClients)
         connection = self.pool.send(request, events)
@@ -222,3 +224,35 @@
     total += sum(len(data) for data, _last in bench.data)
     assert total == size
     assert bench.data[-1] == (b"", True)
+
+
+def test_a_target_is_not_read_while_its_streamed_answer_waits(bench):
+    """Guards against memory that a body without end fills at its keeper."""
+    connection = bench.send()
+    bench.is_backlogged = True
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
+        + b"x" * (exchange.MAX_BUFFERED_BYTES + 1)
+    )
+    connection.dataReceived(b"x")
+    assert connection.transport.producerState == "paused"
+    bench.reactor.advance(10 * exchange.RESUME_INTERVAL_S)
+    assert connection.transport.producerState == "paused"
+    bench.is_backlogged = False
+    bench.reactor.advance(exchange.RESUME_INTERVAL_S)
+    assert connection.transport.producerState == "producing"
+
+
+def test_a_dropped_connection_is_not_read_again(bench):
+    """Guards against a timer that outlives its connection."""
+    connection = bench.send()
+    bench.is_backlogged = True
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
+        + b"x" * (exchange.MAX_BUFFERED_BYTES + 1)
+    )
+    connection.dataReceived(b"x")
+    connection.drop()
+    bench.reactor.advance(2 * exchange.RESUME_INTERVAL_S)
+    assert connection.transport.producerState != "producing"
+    assert not bench.reactor.getDelayedCalls()
