Let a host that hears no other of its region watch the store

Any number of hosts may be lost, so a group of any fixed size can be.

A host that has had no message from any host of its region for 1.8 s now watches. Its own digests, one a second, are answered as long as most of the hosts that it lists are running, so that this happens after large losses only; it costs a read of the store.

test_a_version_is_in_force_in_time_where_both_groups_are_lost and test_a_host_that_hears_no_other_watches fail without the change.

--- a/libs/mesh/src/filbertlift_mesh/watchers.py
+++ b/libs/mesh/src/filbertlift_mesh/watchers.py
@@ -4,7 +4,8 @@
 heartbeats. The first `WATCHERS` of them that are heard watch the store. So
 another member takes over within `GROUP_SILENCE_S` of the loss of a watcher,
 while the directory notices a lost host only after `SILENCE_TIMEOUT_S`, which is
-longer than a version may take to all hosts.
+longer than a version may take to all hosts. A host that no longer hears any
+other host of its region watches too, since the whole group may be lost.
 """
 
 import functools
@@ -25,6 +26,10 @@
 # which a member is passed over. Three heartbeats may be lost.
 GROUP_BEAT_INTERVAL_S: Final = 0.4
 GROUP_SILENCE_S: Final = 1.3
+# Time without a message from any host of the region, in seconds, after which a
+# host watches as if it were alone. Its digests, one a second, are answered
+# unless most of the listed hosts are lost, and with them perhaps the group.
+ISOLATION_S: Final = 1.8
 # Addresses whose hashes are kept.
 _MAX_CACHED_HASHES: Final = 32_768
 
@@ -70,6 +75,8 @@
 
 def is_watcher(table: directory.Directory, now: float) -> bool:
     """Returns whether this host should watch the store."""
+    if _is_isolated(table, now):
+        return not table.own.is_leaving
     ahead = 0
     for record in list_group(table, now):
         if record is table.own:
@@ -81,6 +88,11 @@
     return False
 
 
+def _is_isolated(table: directory.Directory, now: float) -> bool:
+    contacted_at = table.contacted_at
+    return contacted_at is not None and now - contacted_at > ISOLATION_S
+
+
 @functools.lru_cache(_MAX_CACHED_HASHES)
 def _hash_address(address: model.Address) -> int:
     digest = hashlib.blake2b(str(address).encode(), digest_size=8).digest()
--- a/libs/mesh/tests/test_watchers.py
+++ b/libs/mesh/tests/test_watchers.py
@@ -86,6 +86,18 @@
     assert watchers.is_watcher(table, 0.0)
 
 
+def test_a_host_that_hears_no_other_watches():
+    """Guards against late versions after the loss of a whole group."""
+    records = rank_all([make_record(number) for number in range(20)])
+    own = records[-1]
+    table = make_table(own, *records[:-1])
+    assert not watchers.is_watcher(table, watchers.ISOLATION_S)
+    now = watchers.ISOLATION_S + 0.1
+    assert watchers.is_watcher(table, now)
+    table.note_heard(records[10].address, now)
+    assert not watchers.is_watcher(table, now)
+
+
 def test_a_leaving_host_does_not_watch():
     leaving = make_record(1, is_leaving=True)
     assert not watchers.is_watcher(make_table(leaving), 0.0)
--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -410,6 +410,24 @@
     assert fleet.find_late_hosts() == []
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_version_is_in_force_in_time_where_both_groups_are_lost(seed):
+    """Guards against a fleet that lost all hosts that may watch the store."""
+    fleet = Fleet(seed, loss=0.01)
+    for region in REGIONS:
+        hosts = [host for host in fleet.list_hosts() if host.region == region]
+        hosts.sort(key=lambda host: watchers.rank_watcher(host.table.own))
+        group = hosts[-watchers.GROUP_SIZE :]
+        others = hosts[: -watchers.GROUP_SIZE]
+        for host in [*group, *fleet.rng.sample(others, 10)]:
+            host.stop()
+    for _ in range(8):
+        fleet.publish()
+        fleet.run(0.5)
+    fleet.run(3.0)
+    assert fleet.find_late_hosts() == []
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_version_is_in_force_in_time_after_connections_went_silent(seed):
     """Guards against watches that wait on a silent connection."""
