Correct three comments and the platform page on watchers

Two heartbeats of a group may be lost, not three; a malformed reply leads to other peers first; hosts without a store may watch when there are no others. Comments and pages only.

--- a/libs/mesh/src/filbertlift_mesh/directory.py
+++ b/libs/mesh/src/filbertlift_mesh/directory.py
@@ -65,8 +65,8 @@
         place: region and data centre of the host.
         is_leaving: whether its node is stopping.
         target: the target on the host; None before its first heartbeat.
-        has_store: whether the store answers the host; only such a host watches
-            for new configurations.
+        has_store: whether the store answers the host; such hosts go first when
+            the watchers are chosen.
         link_kbps: capacity of its network link, in kilobits per second.
     """
 
--- a/libs/mesh/src/filbertlift_mesh/watchers.py
+++ b/libs/mesh/src/filbertlift_mesh/watchers.py
@@ -23,7 +23,7 @@
 # which a region loses 55 of 100 hosts at once.
 GROUP_SIZE: Final = 6
 # Interval of heartbeats in the group, in seconds, and time without one after
-# which a member is passed over. Three heartbeats may be lost.
+# which a member is passed over. Two heartbeats may be lost.
 GROUP_BEAT_INTERVAL_S: Final = 0.4
 GROUP_SILENCE_S: Final = 1.3
 # Time without a message from any host of the region, in seconds, after which a
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -226,7 +226,7 @@
         try:
             value = self.recent.read_reply(reply)
         except exceptions.HandoverError as error:
-            # The version is read from the store after `PEER_FETCH_S`.
+            # Other peers are asked, and the store after `PEER_FETCH_S`.
             self.log.log(
                 "versions.reply-malformed",
                 error=error,
