--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -69,6 +69,7 @@
         self.link_kbps = link_kbps
         self.address = model.Address(f"10.0.{number // 100}.{number % 100}", 7)
         self.is_up = False
+        # Whether the store refuses the calls of this host.
         self.is_refused = False
         self.disturbed_at = float("-inf")
         self.in_force = []
