Check whether hosts on standby reach the store

Versions came late to all hosts of both regions when the hosts that watch the store lost the path to it together with the next ones in rank: those count as served by the store until they try it, so that each pair of successors cost another 2 s.

The members of the group that do not watch now renew their lease each 0.7 to 1.1 s and report whether the store answers. A renewal costs a tenth of a read, and its answer may take 0.6 s, as that of a watch beyond its wait.

The two tests of standby in test_registry.py fail without it too.

--- a/libs/mesh/src/filbertlift_mesh/watchers.py
+++ b/libs/mesh/src/filbertlift_mesh/watchers.py
@@ -89,6 +89,11 @@
     return False
 
 
+def is_standby(table: directory.Directory, now: float) -> bool:
+    """Returns whether this host is in the group and does not watch."""
+    return table.own in list_group(table, now) and not is_watcher(table, now)
+
+
 def note_probe(table: directory.Directory, now: float) -> None:
     """Records that this host probes the group of its region."""
     group = list_group(table, now)
--- a/libs/mesh/tests/test_watchers.py
+++ b/libs/mesh/tests/test_watchers.py
@@ -143,3 +143,13 @@
         peers = watchers.list_group_peers(table, 0.0)
         expected = set(group) - {own} if own in group else set()
         assert set(peers) == expected
+
+
+def test_members_that_do_not_watch_stand_by():
+    records = rank_all([make_record(number) for number in range(20)])
+    standby = [
+        own
+        for own in records
+        if watchers.is_standby(make_table(own, *(set(records) - {own})), 0.0)
+    ]
+    assert standby == records[watchers.WATCHERS : watchers.GROUP_SIZE]
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -12,6 +12,7 @@
 from filbertlift_core import exceptions as core_exceptions
 from filbertlift_core import model
 from filbertlift_mesh import directory
+from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
@@ -30,6 +31,9 @@
 # host, in seconds. A renewal is the cheapest call, and its answer shows that
 # the host may watch the store again.
 PROBE_INTERVAL_S: Final = 2.0
+# The same for a host that may have to watch the store in place of another one,
+# so that it is passed over if the store does not answer it either.
+STANDBY_INTERVAL_S: Final = 0.7
 # Backoff after a failed call to the store, in seconds, doubled before each
 # pause; and its largest random part, as a share.
 INITIAL_BACKOFF_S: Final = 0.2
@@ -43,7 +47,7 @@
 
     Attributes:
         greet: contacts hosts by gossip.
-        on_store: called with True when the store has answered.
+        on_store: called with whether the store answered a call.
         restore: called with the departure that an earlier node saved.
         is_listed: whether the list was read at least once.
     """
@@ -91,6 +95,7 @@
                 if self.reactor.seconds() >= self._list_due_at:
                     await self._read_list()
             except store_exceptions.StoreError as error:
+                self.on_store(False)
                 self.log.log_request("registry.failed", error=error)
                 pause_s = min(MAX_BACKOFF_S, 2.0 * pause_s)
                 await self._pause(
@@ -101,12 +106,17 @@
             await self._wait_for_renewal()
 
     async def _wait_for_renewal(self) -> None:
-        """Waits until the list is due, or until the store has failed."""
+        """Waits until the list is due, or the lease has to be renewed early."""
+        since = self.reactor.seconds()
         while self.reactor.seconds() < self._list_due_at:
             left_s = self._list_due_at - self.reactor.seconds()
             jitter = 1.0 + BACKOFF_JITTER * self.rng.random()
-            await self._pause(min(left_s, PROBE_INTERVAL_S * jitter))
-            if not self.table.own.has_store:
+            await self._pause(min(left_s, STANDBY_INTERVAL_S * jitter))
+            now = self.reactor.seconds()
+            has_lost_store = not self.table.own.has_store
+            if has_lost_store and now - since >= PROBE_INTERVAL_S:
+                return
+            if watchers.is_standby(self.table, now):
                 return
 
     async def _renew(self) -> None:
--- a/libs/sidecar/tests/test_registry.py
+++ b/libs/sidecar/tests/test_registry.py
@@ -17,9 +17,11 @@
 OTHER = model.Address("10.0.0.2", 7000)
 
 
-def make_record(address):
+def make_record(address, link_kbps=0):
     place = model.Place("north", "n-1")
-    return directory.HostRecord(address, 1, 0, place, False, None, False)
+    return directory.HostRecord(
+        address, 1, 0, place, False, None, False, link_kbps
+    )
 
 
 class Bench:
@@ -100,3 +102,40 @@
     bench.wait(4.0)
     assert bench.table.own.has_store
     assert set(bench.calls[3:]) == {"keep"}
+
+
+@pytest.fixture
+def standby(bench):
+    """A host that watches the store if one of two others is lost."""
+    bench.others = [
+        make_record(model.Address(f"10.0.0.{number}", 7000), 1_000_000)
+        for number in (3, 4)
+    ]
+    bench.others = [attrs.evolve(item, has_store=True) for item in bench.others]
+    bench.table.merge_records(bench.others, 0.0)
+    return bench
+
+
+def wait_beside_watchers(host, seconds):
+    for _ in range(round(seconds / 0.1)):
+        host.wait(0.1)
+        for record in host.others:
+            host.table.note_heard(record.address, host.clock.seconds())
+
+
+def test_a_host_on_standby_renews_its_lease_early(standby):
+    wait_beside_watchers(standby, 10.0)
+    calls = standby.calls[3:]
+    assert set(calls) == {"keep"}
+    limit_s = registry.STANDBY_INTERVAL_S * (1 + registry.BACKOFF_JITTER) + 0.1
+    assert len(calls) >= int(10.0 / limit_s)
+
+
+def test_a_host_on_standby_notices_that_it_lost_the_store(standby):
+    """Guards against a successor of a watcher that cannot read versions."""
+    wait_beside_watchers(standby, 5.0)
+    assert standby.table.own.has_store
+    standby.is_down = True
+    limit_s = registry.STANDBY_INTERVAL_S * (1 + registry.BACKOFF_JITTER) + 0.1
+    wait_beside_watchers(standby, limit_s)
+    assert not standby.table.own.has_store
--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -18,6 +18,7 @@
 from filbertlift_platform import store as platform_store
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import gossip
+from filbertlift_sidecar import registry
 from filbertlift_sidecar import versions
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
@@ -69,8 +70,9 @@
         self.link_kbps = link_kbps
         self.address = model.Address(f"10.0.{number // 100}.{number % 100}", 7)
         self.is_up = False
-        # Whether the store refuses the calls of this host.
+        # Whether the store refuses the calls of this host, or never gets them.
         self.is_refused = False
+        self.is_cut = False
         self.disturbed_at = float("-inf")
         self.in_force = []
         self.table = None
@@ -112,8 +114,19 @@
             lambda: self.versions.version,
         )
         self.gossip.transport = self
+        self.registry = registry.Registry(
+            clock,
+            self.fleet.store.bind(self),
+            self.table,
+            self.gossip.greet,
+            self.note_store,
+            lambda _departure: None,
+            log,
+            random.Random(rng.random()),
+        )
         self.is_up = True
         self.gossip.start_rounds()
+        self.registry.start()
         self.versions.start()
 
     def learn_version(self, peer, version):
@@ -151,6 +164,7 @@
         self.is_up = False
         self.disturbed_at = self.fleet.clock.seconds()
         self.gossip.close()
+        self.registry.close()
         self.versions.close()
 
     def restart(self):
@@ -188,6 +202,12 @@
                 "watch": lambda _key, after, wait_s: self.watch(
                     host, after, wait_s
                 ),
+                "grant_lease": lambda _ttl_s: self.call(host, "1"),
+                "put_leased": lambda *_: self.call(host, None),
+                "keep_lease": lambda _lease: self.call(
+                    host, None, platform_store.KEEP_TIMEOUT_S
+                ),
+                "list_prefix": lambda _prefix: self.call(host, {}),
             }
         )
 
@@ -201,9 +221,13 @@
 
     def get(self, host):
         self.reads += 1
+        return self.call(host, self.entry)
+
+    def call(self, host, result, limit_s=platform_store.CALL_TIMEOUT_S):
         done = defer.Deferred()
-        self.fail_after(done, platform_store.CALL_TIMEOUT_S)
-        self.answer(host, done)
+        self.fail_after(done, limit_s)
+        delay_s = STORE_DELAY_S + host.fleet.get_store_delay(host)
+        self.clock.callLater(delay_s, self.complete, host, done, result)
         return done
 
     def watch(self, host, after, wait_s):
@@ -219,20 +243,20 @@
     def end_watch(self, host, done):
         if (host, done) in self.waiting:
             self.waiting.remove((host, done))
-            if not done.called:
+            if not done.called and not host.is_cut:
                 done.callback(None)
 
     def answer(self, host, done):
         delay_s = STORE_DELAY_S + host.fleet.get_store_delay(host)
         self.clock.callLater(delay_s, self.complete, host, done, self.entry)
 
-    def complete(self, host, done, entry):
-        if done.called or not host.is_up:
+    def complete(self, host, done, result):
+        if done.called or not host.is_up or host.is_cut:
             return
         if host.is_refused:
             done.errback(store_exceptions.StoreUnavailable("status 503"))
         else:
-            done.callback(entry)
+            done.callback(result)
 
     def fail_after(self, done, limit_s):
         def fail():
@@ -317,7 +341,8 @@
                     published_at + IN_FORCE_LIMIT_S,
                     host.disturbed_at + STABLE_S,
                 )
-                if host.is_up and host.find_version(due_at) < version:
+                counts = host.is_up and not host.is_cut
+                if counts and host.find_version(due_at) < version:
                     late.append((host.number, version, published_at))
         return late
 
@@ -429,6 +454,22 @@
     assert fleet.find_late_hosts() == []
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_a_version_is_in_force_in_time_where_most_hosts_lose_the_store(seed):
+    """Guards against successors of watchers that have lost the store too."""
+    fleet = Fleet(seed, loss=0.01)
+    fleet.run(fleet.rng.uniform(0.0, versions.WATCH_TIMEOUT_S))
+    for host in fleet.list_watchers():
+        host.is_cut = True
+    for host in fleet.rng.sample(fleet.list_hosts(), 28):
+        host.is_cut = True
+    for _ in range(8):
+        fleet.publish()
+        fleet.run(0.5)
+    fleet.run(3.0)
+    assert fleet.find_late_hosts() == []
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_version_is_in_force_in_time_after_connections_went_silent(seed):
     """Guards against watches that wait on a silent connection."""
