Keep reading the store after an unexpected error

An error that the loop of the versions or of the registry does not expect ended that loop for as long as the process ran: the host logged one versions.fault and never watched again. A value in the store's answer that is not base64 is such an error.

The two loops share the new module loops, which replaces two copies of their clean-up.

test_a_host_watches_again_after_a_fault and test_a_value_that_is_not_base64_is_uncertain fail without the change.

--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -14,6 +14,7 @@
 from filbertlift_mesh import directory
 from filbertlift_mesh import watchers
 from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import loops
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
 
@@ -64,18 +65,22 @@
     _list_due_at: float = float("-inf")
     _lease: str = ""
     _is_closed: bool = False
-    _loop: Any = None
+    _loop: loops.Loop | None = None
 
     def start(self) -> None:
         """Registers this host and keeps renewing its lease."""
-        self._loop = defer.ensureDeferred(self._run())
-        self._loop.addErrback(self._log_fault)
+        self._loop = loops.Loop(
+            self.reactor,
+            self._run,
+            lambda error: self.log.log("registry.fault", error=error),
+        )
+        self._loop.start()
 
     def close(self) -> None:
         """Stops; the entry disappears when its lease expires."""
         self._is_closed = True
         if self._loop is not None:
-            self._loop.cancel()
+            self._loop.close()
 
     def save_departure(self, value: bytes) -> "defer.Deferred[Any]":
         """Saves the target's departure for the next node on this host."""
@@ -167,11 +172,6 @@
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self.reactor, delay_s, lambda: None)
 
-    def _log_fault(self, reason: Any) -> None:
-        if reason.check(defer.CancelledError) and self._is_closed:
-            return
-        self.log.log("registry.fault", error=reason.getErrorMessage())
-
 
 def _read_address(key: str) -> model.Address | None:
     if not key.startswith(HOST_PREFIX):
--- a/libs/sidecar/src/filbertlift_sidecar/versions.py
+++ b/libs/sidecar/src/filbertlift_sidecar/versions.py
@@ -15,7 +15,6 @@
 from typing import Final
 
 import attrs
-from twisted.internet import defer
 from twisted.internet import task
 
 from filbertlift_core import exceptions as core_exceptions
@@ -29,6 +28,7 @@
 from filbertlift_sidecar import exceptions
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import handover
+from filbertlift_sidecar import loops
 from filbertlift_sidecar import peerlink
 from filbertlift_sidecar import remote as remotes
 from filbertlift_store import exceptions as store_exceptions
@@ -124,7 +124,7 @@
     _retry_s: float = PEER_RETRY_S
     _read_due_at: float = 0.0
     _is_reading: bool = False
-    _loop: Any = None
+    _loop: loops.Loop | None = None
 
     @property
     def version(self) -> int:
@@ -133,8 +133,12 @@
 
     def start(self) -> None:
         """Starts watching for versions."""
-        self._loop = defer.ensureDeferred(self._watch())
-        self._loop.addErrback(self._log_fault)
+        self._loop = loops.Loop(
+            self.reactor,
+            self._watch,
+            lambda error: self.log.log("versions.fault", error=error),
+        )
+        self._loop.start()
 
     def close(self) -> None:
         """Stops watching for versions."""
@@ -142,7 +146,7 @@
         if self._fetch_timer is not None and self._fetch_timer.active():
             self._fetch_timer.cancel()
         if self._loop is not None:
-            self._loop.cancel()
+            self._loop.close()
 
     def learn(self, peer: model.Address, version: int) -> None:
         """Fetches a newer version that a peer has.
@@ -384,11 +388,6 @@
         if self._holders.newest > self.version:
             self._start_fetch()
 
-    def _log_fault(self, reason: Any) -> None:
-        if reason.check(defer.CancelledError) and self._is_closed:
-            return
-        self.log.log("versions.fault", error=reason.getErrorMessage())
-
 
 def _do_nothing() -> None:
     """Callback of a pause."""
--- a/libs/sidecar/tests/test_versions.py
+++ b/libs/sidecar/tests/test_versions.py
@@ -17,6 +17,7 @@
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import handover
+from filbertlift_sidecar import loops
 from filbertlift_sidecar import versions
 from filbertlift_store import exceptions as store_exceptions
 from filbertlift_store import interface
@@ -310,6 +311,16 @@
     assert bench.reads[-1][0] == ("get", "key")
 
 
+def test_a_host_watches_again_after_a_fault(bench):
+    """Guards against a host whose first unexpected error is its last read."""
+    bench.answer(b"5", 10)
+    bench.wait(0.5)
+    bench.reads[-1][1].errback(RuntimeError("unexpected"))
+    bench.wait(loops.RESTART_DELAY_S + 0.5)
+    bench.answer(b"6", 11)
+    assert bench.numbers == [5, 6]
+
+
 def test_the_first_host_of_a_region_announces_a_version_to_many():
     """Guards against late versions in a region that lost its watchers."""
     far = make_record(2, place=model.Place("south", "s-1"))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -195,6 +195,13 @@
     assert sorted(found.result) == ["p/a", "p/b"]
 
 
+def test_a_value_that_is_not_base64_is_uncertain(platform_store, pool):
+    """Guards against an error that callers of the store do not expect."""
+    found = platform_store.get("k")
+    pool.answer(200, {"key": "k", "value": "a", "rev": 7})
+    assert isinstance(read_error(found), exceptions.StoreUncertain)
+
+
 @pytest.mark.parametrize("content", [[], {"key": 1}, "text"])
 def test_a_malformed_answer_is_uncertain(platform_store, pool, content):
     found = platform_store.get("k")
