Save a departure until the store has it

A node that starts on the host of a target that has left could take it for usable: the departure was saved in the store once, and not again if the store was away or the lease, and the key with it, was lost.

The registry keeps the departure and saves it after the next renewal, each 2 to 3 s while it is unsaved, and again under a new lease. The acknowledgement to the target does not wait for that, as before.

Three tests of test_registry.py fail without the change.

--- a/libs/sidecar/src/filbertlift_sidecar/control.py
+++ b/libs/sidecar/src/filbertlift_sidecar/control.py
@@ -91,8 +91,8 @@
         saved.addBoth(lambda _result: self._send(reply, 200))
 
     def _log_unsaved(self, reason: Any) -> None:
-        # This node has recorded the departure. Only a node that starts later
-        # on this host would not know of it.
+        # This node has recorded the departure. A node that starts on this host
+        # before the registry saves it would not know of it.
         self.log.log(
             "control.departure-unsaved", error=reason.getErrorMessage()
         )
--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -64,6 +64,9 @@
     is_listed: bool = False
     _list_due_at: float = float("-inf")
     _lease: str = ""
+    # The target's departure, and the lease under which it was saved.
+    _departure: bytes | None = None
+    _departure_lease: str = ""
     _is_closed: bool = False
     _loop: loops.Loop | None = None
 
@@ -82,14 +85,31 @@
         if self._loop is not None:
             self._loop.close()
 
-    def save_departure(self, value: bytes) -> "defer.Deferred[Any]":
-        """Saves the target's departure for the next node on this host."""
+    def save_departure(self, value: bytes) -> "defer.Deferred[None]":
+        """Saves the target's departure for the next node on this host.
+
+        If the store does not take it now, it is saved after the next renewal of
+        the lease.
+        """
+        self._departure = value
+        self._departure_lease = ""
+        return defer.ensureDeferred(self._save_departure())
+
+    async def _save_departure(self) -> None:
+        value, lease = self._departure, self._lease
+        if value is None or self._is_departure_saved():
+            return
+        if not lease:
+            raise store_exceptions.StoreUnavailable("not registered yet")
         key = DEPARTURE_PREFIX + str(self.table.own.address)
-        if not self._lease:
-            return defer.fail(
-                store_exceptions.StoreUnavailable("not registered yet")
-            )
-        return self.store.put_leased(key, value, self._lease)
+        await self.store.put_leased(key, value, lease)
+        if self._departure is value:
+            self._departure_lease = lease
+
+    def _is_departure_saved(self) -> bool:
+        """Returns whether there is no departure to save under this lease."""
+        is_saved = self._departure_lease == self._lease != ""
+        return self._departure is None or is_saved
 
     async def _run(self) -> None:
         pause_s = INITIAL_BACKOFF_S
@@ -97,6 +117,7 @@
             try:
                 await self._renew()
                 self.on_store(True)
+                await self._save_departure()
                 if self.reactor.seconds() >= self._list_due_at:
                     await self._read_list()
             except store_exceptions.StoreError as error:
@@ -118,8 +139,9 @@
             jitter = 1.0 + BACKOFF_JITTER * self.rng.random()
             await self._pause(min(left_s, STANDBY_INTERVAL_S * jitter))
             now = self.reactor.seconds()
-            has_lost_store = not self.table.own.has_store
-            if has_lost_store and now - since >= PROBE_INTERVAL_S:
+            has_store = self.table.own.has_store
+            is_due = not has_store or not self._is_departure_saved()
+            if is_due and now - since >= PROBE_INTERVAL_S:
                 return
             if watchers.is_standby(self.table, now):
                 return
--- a/libs/sidecar/tests/test_registry.py
+++ b/libs/sidecar/tests/test_registry.py
@@ -31,6 +31,7 @@
         self.clock = task.Clock()
         self.calls = []
         self.is_down = False
+        self.is_revoked = False
         self.table = directory.Directory(
             make_record(model.Address("10.0.0.1", 7000))
         )
@@ -41,8 +42,10 @@
         store = interface.Store(
             **{
                 **empty,
-                "grant_lease": lambda _ttl: self.call("grant", "1"),
-                "keep_lease": lambda _lease: self.call("keep", None),
+                "grant_lease": lambda _ttl: self.call(
+                    "grant", str(len(self.calls))
+                ),
+                "keep_lease": lambda _lease: self.keep_lease(),
                 "put_leased": lambda *_: self.call("put", None),
                 "list_prefix": lambda _prefix: self.call("list", {}),
             }
@@ -64,6 +67,13 @@
             return defer.fail(exceptions.StoreUnavailable("503"))
         return defer.succeed(result)
 
+    def keep_lease(self):
+        if not self.is_revoked:
+            return self.call("keep", None)
+        self.is_revoked = False
+        self.calls.append("keep")
+        return defer.fail(exceptions.LeaseLost("404"))
+
     def note_store(self, has_store):
         self.table.update_own(attrs.evolve(self.table.own, has_store=has_store))
 
@@ -104,6 +114,43 @@
     assert set(bench.calls[3:]) == {"keep"}
 
 
+def test_a_departure_is_saved_once_the_store_answers_again(bench):
+    """Guards against a node that starts here and uses a target that left."""
+    bench.wait(10.0)
+    bench.is_down = True
+    failures = []
+    bench.registry.save_departure(b"left").addErrback(failures.append)
+    bench.wait(5.0)
+    assert failures
+    del bench.calls[:]
+    bench.is_down = False
+    bench.wait(6.0)
+    assert bench.calls.count("put") == 1
+
+
+def test_a_departure_is_saved_under_the_first_lease():
+    """Guards against a departure before this host is registered."""
+    host = Bench()
+    host.is_down = True
+    host.registry.start()
+    failures = []
+    host.registry.save_departure(b"left").addErrback(failures.append)
+    assert failures
+    host.is_down = False
+    host.wait(3.0)
+    assert host.calls.count("put") == 2
+
+
+def test_a_departure_is_saved_again_under_a_new_lease(bench):
+    """Guards against a departure that is removed with a lost lease."""
+    bench.wait(10.0)
+    bench.registry.save_departure(b"left")
+    bench.is_revoked = True
+    del bench.calls[:]
+    bench.wait(registry.RENEW_INTERVAL_S)
+    assert bench.calls == ["keep", "grant", "put", "put", "list"]
+
+
 @pytest.fixture
 def standby(bench):
     """A host that watches the store if one of two others is lost."""
