Remember a departure that arrives before any heartbeat

Callers could be sent to a target more than 2.5 s after its departure was acknowledged: a node that had just started had no record of the target, acknowledged its notice with 200 and forgot it. A late heartbeat then made the target ready.

The incarnations that leave are remembered, at most 16, whether or not a heartbeat came before; a draining heartbeat of a service that the configuration lacks as well.

The three new tests of test_announcements.py fail without the change.

--- a/libs/mesh/src/filbertlift_mesh/announcements.py
+++ b/libs/mesh/src/filbertlift_mesh/announcements.py
@@ -3,6 +3,7 @@
 The messages may arrive late or out of order.
 """
 
+from collections import OrderedDict
 from collections.abc import Container
 from typing import Final
 
@@ -13,6 +14,10 @@
 # A target gets no new calls once its last heartbeat is older than this many
 # heartbeat intervals.
 MAX_MISSED_BEATS: Final = 4.0
+# Incarnations that are remembered as leaving; later ones replace the oldest.
+MAX_LEAVING: Final = 16
+
+_Key = tuple[str, int]
 
 
 @attrs.frozen
@@ -62,7 +67,11 @@
     current: directory.TargetRecord | None = None
     heard_at: float = float("-inf")
     _sequence: int = -1
-    _departed: directory.TargetRecord | None = None
+    # State of incarnations that leave, whether or not they are current. A node
+    # that has just started may hear of a departure before any heartbeat.
+    _leaving: OrderedDict[_Key, directory.TargetState] = attrs.field(
+        factory=OrderedDict
+    )
 
     @property
     def is_leaving(self) -> bool:
@@ -82,6 +91,7 @@
         target = beat.target
         if beat.address != self.address:
             return "other-address"
+        self._remember(_get_key(target), target.state)
         if self.services is not None and target.service not in self.services:
             return "unknown-service"
         held = self.current
@@ -94,9 +104,8 @@
             assert held is not None
             # Draining is final within an incarnation.
             target = attrs.evolve(target, state=max(held.state, target.state))
-        left = self._departed
-        if left is not None and _get_key(left) == _get_key(target):
-            target = attrs.evolve(target, state=directory.TargetState.LEFT)
+        state = self._leaving.get(_get_key(target), target.state)
+        target = attrs.evolve(target, state=max(state, target.state))
         self._sequence = beat.sequence
         self.heard_at = now
         if target == held:
@@ -109,11 +118,16 @@
 
         Returns:
             `news` if the record changed, `known` if the target had left
-            before, or the reason why the notice was ignored.
+            before, `remembered` if no heartbeat of the target has arrived, or
+            the reason why the notice was ignored.
         """
         held = self.current
         if held is None or held.target_id != departure.target_id:
-            return "other-target"
+            if departure.born_ms is None:
+                return "other-target"
+            key = (departure.target_id, departure.born_ms)
+            self._remember(key, directory.TargetState.LEFT)
+            return "remembered"
         if departure.born_ms is not None and departure.born_ms < held.born_ms:
             return "earlier-incarnation"
         if held.state is directory.TargetState.LEFT:
@@ -127,13 +141,21 @@
         Returns:
             Whether the record of the current incarnation changed.
         """
-        self._departed = departed
+        self._remember(_get_key(departed), departed.state)
         held = self.current
         if held is None or _get_key(held) != _get_key(departed):
             return False
         self.current = attrs.evolve(held, state=max(held.state, departed.state))
         return self.current != held
 
+    def _remember(self, key: _Key, state: directory.TargetState) -> None:
+        if state is directory.TargetState.READY:
+            return
+        state = max(state, self._leaving.pop(key, state))
+        self._leaving[key] = state
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+
     def get_usable(self, now: float) -> directory.TargetRecord | None:
         """Returns the target's record if new calls may be sent to it."""
         held = self.current
@@ -144,5 +166,5 @@
         return held
 
 
-def _get_key(target: directory.TargetRecord) -> tuple[str, int]:
+def _get_key(target: directory.TargetRecord) -> _Key:
     return target.target_id, target.born_ms
--- a/libs/mesh/tests/test_announcements.py
+++ b/libs/mesh/tests/test_announcements.py
@@ -84,6 +84,37 @@
     assert local.get_usable(0.0) is not None
 
 
+def test_a_departure_before_the_first_heartbeat_is_remembered():
+    """Guards against calls to a target whose notice a new node acknowledged."""
+    local = make_local()
+    departure = announcements.Departure("i-1", 10)
+    assert local.note_departure(departure) == "remembered"
+    local.note_beat(make_beat(7), 0.1)
+    assert local.get_usable(0.1) is None
+    local.note_beat(make_beat(1, born_ms=20), 0.2)
+    assert local.get_usable(0.2) is not None
+
+
+def test_a_drain_is_remembered_while_the_service_is_unknown():
+    """Guards against a late heartbeat after a drain was acknowledged."""
+    local = make_local(services={"b"})
+    assert local.note_beat(make_beat(2, DRAINING), 0.0) == "unknown-service"
+    local.services = {"a"}
+    local.note_beat(make_beat(1), 0.1)
+    assert local.get_usable(0.1) is None
+
+
+def test_departures_of_other_targets_do_not_accumulate():
+    """Guards against memory that grows with forged notices."""
+    local = make_local()
+    local.note_beat(make_beat(1), 0.0)
+    for number in range(1000):
+        departure = announcements.Departure(f"i-x{number}", number)
+        assert local.note_departure(departure) == "remembered"
+    assert local.get_usable(0.0) is not None
+    assert len(local._leaving) == announcements.MAX_LEAVING
+
+
 def test_a_restarted_node_keeps_an_acknowledged_departure():
     """Guards against calls to a departed target after its node restarts."""
     local = make_local()
