Restart nodes of the soak that end by themselves, and report them

Each end of a process without a step is recorded, reported unless a signal ended it in its first 2 s, and followed by a restart. A planned stop in these 2 s may end by SIGTERM. The nodes are started by run.py, as on the platform.

--- a/libs/harness/src/filbertlift_harness/processes.py
+++ b/libs/harness/src/filbertlift_harness/processes.py
@@ -1,5 +1,6 @@
 """Starts the processes of a run, sends them signals and stops them."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import os
 import pathlib
@@ -62,6 +63,8 @@
         paused: whether the process is paused by SIGSTOP.
         exit_status: exit status, or the negative number of the signal that
             ended it; None until then.
+        on_exit: called with the exit status when the process has ended; None
+            if nothing is to be called.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.flags = flags
         self.paused = False
         self.exit_status: int | None = None
+        self.on_exit: Callable[[int], None] | None = None
         self._environment = dict(environment or {})
         self._reactor = reactor
         self._transport: Any = None
@@ -186,6 +190,8 @@
 
     def _record_exit(self, status: int) -> int:
         self.exit_status = status
+        if self.on_exit is not None:
+            self.on_exit(status)
         return status
 
 
--- a/soak/src/filbertlift_soak/deployment.py
+++ b/soak/src/filbertlift_soak/deployment.py
@@ -23,11 +23,15 @@
 from filbertlift_standins import tunnels
 from filbertlift_standins import web
 
-NODE_MODULE: Final = "filbertlift_platform.program"
+# Module of `platform/run.py`, which the platform starts.
+NODE_MODULE: Final = "run"
 HEARTBEAT_INTERVAL_S: Final = 0.5
 DRAIN_S: Final = 2.5
 GRACE_S: Final = 6.0
 SLOTS: Final = 6
+# Time from its start within which a node has installed its signal handlers, in
+# seconds.
+STARTUP_S: Final = 2.0
 # Time after which the platform restarts a process that ended, in seconds.
 RESTART_DELAY_S: Final = 0.3
 PLACES: Final = (
@@ -124,6 +128,7 @@
         self.is_down = False
         started = self.journal.starts.setdefault(self.name, [])
         started.append(self.reactor.seconds())
+        self.process.on_exit = self._note_exit
         self.process.start(self.folder)
 
     def kill(self) -> None:
@@ -131,6 +136,15 @@
         if self.process.running:
             self.process.kill()
 
+    def _note_exit(self, status: int) -> None:
+        """Restarts a node that ended by itself, as the platform does."""
+        if self.is_down:
+            return
+        age_s = self.reactor.seconds() - self.journal.starts[self.name][-1]
+        self.journal.exits.append(records.Exit(self.name, status, age_s))
+        self.is_down = True
+        self.restart_later(RESTART_DELAY_S)
+
     def restart_later(self, delay_s: float) -> None:
         """Restarts the node after a delay, but not before its process ended."""
         self.reactor.callLater(delay_s, self._restart)
@@ -145,14 +159,21 @@
         self.start_process()
 
     async def stop_process(self) -> bool:
-        """Stops the node as planned; returns whether it ended in time."""
+        """Stops the node as planned; returns whether it ended in time.
+
+        A node that is still starting has no handler yet and ends by the signal.
+        """
         if not self.process.running:
             return True
+        age_s = self.reactor.seconds() - self.journal.starts[self.name][-1]
+        allowed = {env.EXIT_OK}
+        if age_s < STARTUP_S:
+            allowed.add(-signal.SIGTERM)
         if self.process.paused:
             self.process.resume()
         self.process.send_signal(signal.SIGTERM)
         try:
-            return await self.process.wait_end(GRACE_S) == env.EXIT_OK
+            return await self.process.wait_end(GRACE_S) in allowed
         except exceptions.HarnessError:
             self.kill()
             return False
@@ -233,6 +254,8 @@
 
 async def stop_all(hosts: list[Host], timeout_s: float) -> None:
     """Stops the nodes of all hosts."""
+    for host in hosts:
+        host.process.on_exit = None
     stops = [
         defer.Deferred.fromCoroutine(host.process.stop(timeout_s))
         for host in hosts
--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -14,9 +14,6 @@
 from filbertlift_soak import records
 from filbertlift_soak import steps
 
-# Time after the start of its process during which a host counts as disturbed,
-# in seconds.
-STARTUP_S: Final = 2.0
 # A step takes no host down if this many or fewer are up.
 MIN_HOSTS_UP: Final = 2
 SILENCE_INTERVAL_S: Final = 0.2
@@ -76,7 +73,7 @@
         if not self._can_take_down(host):
             return
         host.is_down = True
-        self._record_disturbance(host.name, step.seconds + STARTUP_S)
+        self._record_disturbance(host.name, step.seconds + deployment.STARTUP_S)
         host.kill()
         host.restart_later(step.seconds)
         if step.word == "again":
@@ -87,7 +84,7 @@
             return
         host.is_down = True
         self._record_disturbance(
-            host.name, deployment.RESTART_DELAY_S + STARTUP_S
+            host.name, deployment.RESTART_DELAY_S + deployment.STARTUP_S
         )
         host.kill()
         host.restart_later(deployment.RESTART_DELAY_S)
--- a/soak/src/filbertlift_soak/oracle.py
+++ b/soak/src/filbertlift_soak/oracle.py
@@ -33,6 +33,8 @@
     """Bounds of the guarantees and services of the routes; times in seconds.
 
     Attributes:
+        startup_s: time within which a process may end by a signal, since it has
+            not installed its handlers yet.
         recovery_s: time after a disturbance from which a host counts as
             undisturbed.
         config_s: time after which a version is in force on every host.
@@ -44,6 +46,7 @@
         services: services of each route, by the first part of its path.
     """
 
+    startup_s: float
     recovery_s: float
     config_s: float
     drain_s: float
@@ -70,6 +73,7 @@
         check_departures,
         check_repeats,
         check_stops,
+        check_exits,
         check_versions,
         check_version_order,
     )
@@ -231,6 +235,17 @@
                 yield f"lost: {call.request_id} at the stop of {stop.host}"
 
 
+def check_exits(
+    journal: records.Journal, guarantees: Guarantees
+) -> Iterator[str]:
+    """Checks that no node ends by itself."""
+    for item in journal.exits:
+        is_starting = item.age_s < guarantees.startup_s
+        if item.status >= 0 or not is_starting:
+            text = f"status {item.status} after {item.age_s:.1f} s"
+            yield f"exit: {item.host} ended with {text}"
+
+
 def check_versions(
     journal: records.Journal, guarantees: Guarantees
 ) -> Iterator[str]:
--- a/soak/src/filbertlift_soak/records.py
+++ b/soak/src/filbertlift_soak/records.py
@@ -113,6 +113,21 @@
     removed_at: float | None = None
 
 
+@attrs.frozen
+class Exit:
+    """End of a node's process that no step had brought about.
+
+    Attributes:
+        host: name of the host.
+        status: exit status, or the negative number of a signal.
+        age_s: time since the start of the process, in seconds.
+    """
+
+    host: str
+    status: int
+    age_s: float
+
+
 @attrs.define(eq=False)
 class Journal:
     """Everything that was recorded in a run.
@@ -123,6 +138,7 @@
         disturbances: intervals during which a host or the store was disturbed.
         stops: intervals from the SIGTERM to a node to the end of its process.
         starts: by host, when each process of its node was started.
+        exits: ends of processes that no step had brought about.
         departures: by target id, when its departure was acknowledged.
         publications: published versions, in order.
     """
@@ -132,6 +148,7 @@
     disturbances: list[Interval] = attrs.field(factory=list)
     stops: list[Interval] = attrs.field(factory=list)
     starts: dict[str, list[float]] = attrs.field(factory=dict)
+    exits: list[Exit] = attrs.field(factory=list)
     departures: dict[str, float] = attrs.field(factory=dict)
     publications: list[Publication] = attrs.field(factory=list)
 
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -37,6 +37,7 @@
 MARKER_ROUTES: Final = 3
 VERSION_STEP: Final = 3
 GUARANTEES: Final = oracle.Guarantees(
+    startup_s=deployment.STARTUP_S,
     recovery_s=3.0,
     config_s=2.5,
     drain_s=2.5,
@@ -174,6 +175,7 @@
     def _kill_nodes(self) -> None:
         """Kills the nodes when the run itself is stopped."""
         for host in self.hosts:
+            host.process.on_exit = None
             host.kill()
 
     def publish(self) -> None:
--- a/soak/tests/test_oracle.py
+++ b/soak/tests/test_oracle.py
@@ -9,6 +9,7 @@
 
 Kind = configuration.CallKind
 GUARANTEES = oracle.Guarantees(
+    startup_s=2.0,
     recovery_s=3.0,
     config_s=2.5,
     drain_s=2.5,
@@ -172,3 +173,14 @@
 def test_records_are_compared_by_identity():
     """Guards against treating two equal runs of one call as one run."""
     assert make_run() != attrs.evolve(make_run())
+
+
+@pytest.mark.parametrize(
+    ("status", "age_s", "is_reported"),
+    [(-1, 1.5, False), (-1, 2.5, True), (1, 0.5, True), (0, 9.0, True)],
+)
+def test_a_node_that_ends_by_itself_is_reported(status, age_s, is_reported):
+    """Guards against a run that goes on with a lost node unnoticed."""
+    journal = records.Journal(exits=[records.Exit("h1", status, age_s)])
+    found = oracle.find_problems(journal, GUARANTEES)
+    assert bool(found) == is_reported
