--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -292,15 +292,27 @@
     def list_hosts(self):
         return list(self.hosts.values())
 
+    def rank_hosts(self, region):
+        """Returns the hosts of a region; the last ones watch first."""
+        near = [host for host in self.list_hosts() if host.region == region]
+        near.sort(key=lambda host: watchers.rank_watcher(host.table.own))
+        return near
+
     def list_watchers(self):
         """Returns the two hosts of each region that watch the store first."""
         found = []
         for region in REGIONS:
-            near = [h for h in self.list_hosts() if h.region == region]
-            near.sort(key=lambda h: watchers.rank_watcher(h.table.own))
-            found += near[-watchers.WATCHERS :]
+            found += self.rank_hosts(region)[-watchers.WATCHERS :]
         return found
 
+    def stop_group(self, region, others):
+        """Stops the group of a region and a number of its other hosts."""
+        ranked = self.rank_hosts(region)
+        group = ranked[-watchers.GROUP_SIZE :]
+        rest = ranked[: -watchers.GROUP_SIZE]
+        for host in [*group, *self.rng.sample(rest, others)]:
+            host.stop()
+
     def get_store_delay(self, host):
         return FAR_DELAY_S if host.region == REGIONS[1] else NEAR_DELAY_S
 
@@ -325,6 +337,12 @@
         self.store.publish(version)
         self.published.append((self.clock.seconds(), version))
 
+    def publish_series(self, count, gap_s=0.5, settle_s=3.0):
+        for _ in range(count):
+            self.publish()
+            self.run(gap_s)
+        self.run(settle_s)
+
     def run(self, seconds):
         until = self.clock.seconds() + seconds
         while self.clock.calls and self.clock.calls[0].getTime() < until:
@@ -350,10 +368,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_a_version_is_in_force_in_time_without_faults(seed):
     fleet = Fleet(seed)
-    for _ in range(4):
-        fleet.publish()
-        fleet.run(1.3)
-    fleet.run(3.0)
+    fleet.publish_series(4, gap_s=1.3)
     assert fleet.find_late_hosts() == []
 
 
@@ -361,10 +376,7 @@
 def test_a_version_is_in_force_in_time_with_lost_datagrams(seed):
     """Guards against hosts that no announcement of a version reaches."""
     fleet = Fleet(seed, loss=0.1)
-    for _ in range(8):
-        fleet.publish()
-        fleet.run(1.3)
-    fleet.run(3.0)
+    fleet.publish_series(8, gap_s=1.3)
     assert fleet.find_late_hosts() == []
 
 
@@ -378,10 +390,7 @@
     for host in fleet.list_watchers():
         if host.region in regions:
             host.stop()
-    for _ in range(6):
-        fleet.publish()
-        fleet.run(0.5)
-    fleet.run(3.0)
+    fleet.publish_series(6)
     assert fleet.find_late_hosts() == []
 
 
@@ -409,10 +418,7 @@
     others = [host for host in fleet.list_hosts() if host not in watching]
     for host in fleet.rng.sample(others, 30):
         host.stop()
-    for _ in range(6):
-        fleet.publish()
-        fleet.run(0.5)
-    fleet.run(3.0)
+    fleet.publish_series(6)
     assert fleet.find_late_hosts() == []
 
 
@@ -423,16 +429,8 @@
     Most of the hosts that it still lists are lost too.
     """
     fleet = Fleet(seed, loss=0.01)
-    south = [host for host in fleet.list_hosts() if host.region == REGIONS[1]]
-    south.sort(key=lambda host: watchers.rank_watcher(host.table.own))
-    group = south[-watchers.GROUP_SIZE :]
-    others = south[: -watchers.GROUP_SIZE]
-    for host in [*group, *fleet.rng.sample(others, 10)]:
-        host.stop()
-    for _ in range(6):
-        fleet.publish()
-        fleet.run(0.5)
-    fleet.run(3.0)
+    fleet.stop_group(REGIONS[1], 10)
+    fleet.publish_series(6)
     assert fleet.find_late_hosts() == []
 
 
@@ -441,16 +439,8 @@
     """Guards against a fleet that lost all hosts that may watch the store."""
     fleet = Fleet(seed, loss=0.01)
     for region in REGIONS:
-        hosts = [host for host in fleet.list_hosts() if host.region == region]
-        hosts.sort(key=lambda host: watchers.rank_watcher(host.table.own))
-        group = hosts[-watchers.GROUP_SIZE :]
-        others = hosts[: -watchers.GROUP_SIZE]
-        for host in [*group, *fleet.rng.sample(others, 10)]:
-            host.stop()
-    for _ in range(8):
-        fleet.publish()
-        fleet.run(0.5)
-    fleet.run(3.0)
+        fleet.stop_group(region, 10)
+    fleet.publish_series(8)
     assert fleet.find_late_hosts() == []
 
 
@@ -463,10 +453,7 @@
         host.is_cut = True
     for host in fleet.rng.sample(fleet.list_hosts(), 28):
         host.is_cut = True
-    for _ in range(8):
-        fleet.publish()
-        fleet.run(0.5)
-    fleet.run(3.0)
+    fleet.publish_series(8)
     assert fleet.find_late_hosts() == []
 
 
