--- a/libs/harness/src/filbertlift_harness/processes.py
+++ b/libs/harness/src/filbertlift_harness/processes.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from typing import Any
+from typing import Final
 
 import attrs
 from twisted.internet import defer
@@ -14,6 +15,9 @@
 
 from filbertlift_harness import exceptions
 
+# Time after SIGKILL within which the end of a process is reported, in seconds.
+# After a stall of this process its timers fire before it learns of the end.
+KILL_TIMEOUT_S: Final = 30.0
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -186,7 +190,7 @@
             return await self.wait_end(timeout_s)
         except exceptions.HarnessError:
             self.kill()
-        return await self.wait_end(timeout_s)
+        return await self.wait_end(KILL_TIMEOUT_S)
 
     def _record_exit(self, status: int) -> int:
         self.exit_status = status
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -69,6 +69,11 @@
 # Least share of the calls that must succeed after all faults have ended.
 MIN_SERVED_SHARE: Final = 0.97
 STOP_TIMEOUT_S: Final = 2.0
+# Interval at which the run checks that its own reactor turns, and the delay
+# that it prints, in seconds. Callers, targets and the store run in this
+# process, so that a stall of it looks like one of the nodes.
+STALL_CHECK_S: Final = 0.1
+MAX_STALL_S: Final = 0.3
 
 
 @attrs.define(eq=False)
@@ -95,6 +100,8 @@
     _callers: callers.Callers = attrs.field(init=False)
     _publication_numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     _marker_calls: Any = None
+    _stall_check: Any = None
+    _checked_at: float = 0.0
     _markers_sent: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -154,6 +161,7 @@
         )
         await self._start()
         start = self.reactor.seconds()
+        self._start_stall_check()
         for step in plan:
             await self._sleep(start + step.at_s - self.reactor.seconds())
             print(step, flush=True)
@@ -166,12 +174,28 @@
     async def close(self) -> None:
         """Ends every process of the run."""
         self._stop_calls()
+        if self._stall_check is not None:
+            self._stall_check.stop()
         for host in self.hosts:
             host.is_down = False
             host.target.crash()
         await deployment.stop_all(self.hosts, STOP_TIMEOUT_S)
         self._callers.close()
 
+    def _start_stall_check(self) -> None:
+        self._checked_at = self.reactor.seconds()
+        self._stall_check = task.LoopingCall(self._check_stall)
+        self._stall_check.clock = self.reactor
+        self._stall_check.start(STALL_CHECK_S, now=False)
+
+    def _check_stall(self) -> None:
+        """Prints for how long this process itself did not run."""
+        now = self.reactor.seconds()
+        stalled_s = now - self._checked_at - STALL_CHECK_S
+        self._checked_at = now
+        if stalled_s > MAX_STALL_S:
+            print(f"stall: {stalled_s:.2f} s before {now:.2f}", flush=True)
+
     def _kill_nodes(self) -> None:
         """Kills the nodes when the run itself is stopped."""
         for host in self.hosts:
