--- a/review/standins.py
+++ b/review/standins.py
@@ -785,7 +785,7 @@
             pages = int(path.read_text().split()[1])
         except (OSError, IndexError):
             return 0.0
-        return pages * os.sysconf("SC_PAGESIZE") / 1_000_000
+        return pages * os.sysconf("SC_PAGESIZE") / 1_048_576
 
     def kill(self) -> None:
         """Ends the process at once."""
