--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,8 @@
 
 import standins
 
-HOSTNAME = "scans.example"
+HOSTNAME = "fees.example"
+WORK_MS = 140
 INTERVAL_S = 0.05
 # The upstream crashes and is back after this pause.
 DOWN_S = 0.5
@@ -14,7 +15,7 @@
 # is 3.5 s late.
 LATE_S = 1.5
 # It serves on for `drainMs` after the acknowledgement, and many seconds longer.
-SERVES_ON_S = 8.0
+SERVES_ON_S = 6.5
 
 
 async def play(case: standins.Case) -> list[str]:
@@ -24,8 +25,8 @@
     case.add_node("archive-1", "archive")
     case.add_node("archive-2", "archive")
     routes = {
-        "scan": standins.make_route(
-            HOSTNAME, "/scan/", "safe", service="archive"
+        "fee": standins.make_route(
+            HOSTNAME, "/fee/", "unsafe", service="archive", maxAttempts=1
         ),
     }
     await case.publish(3, routes, ["front", "archive"])
@@ -36,7 +37,7 @@
     client = standins.Client(case.record, front.outbound, HOSTNAME)
     await standins.wait_served(
         client,
-        "/scan/x",
+        "/fee/x",
         lambda attempt: attempt.headers["response-signature"].startswith(
             "i-leaving"
         ),
@@ -47,7 +48,8 @@
         number = 0
         while not is_over:
             number += 1
-            await client.send(f"/scan/{number}", 2500)
+            path = f"/fee/w{WORK_MS}/{number}"
+            await client.send(path, 3000, "POST", b"fee")
             await asyncio.sleep(INTERVAL_S)
 
     load = [asyncio.create_task(send_all()) for _ in range(3)]
@@ -75,9 +77,17 @@
     await asyncio.sleep(LATE_S)
     await gone.deliver_late()
     await asyncio.sleep(SERVES_ON_S - LATE_S)
+    await gone.stop()
+    await asyncio.sleep(0.5)
     is_over = True
     await asyncio.gather(*load)
-    await gone.stop()
+    ran = {run.request_id for run in gone.runs}
+    lost = [
+        attempt
+        for attempt in client.attempts
+        if attempt.status == 502 and attempt.request_id in ran
+    ]
+    print(f"answered 502 as the upstream ended: {len(lost)}")
     bound = acknowledged_at + standins.DRAIN_S
     late = [run for run in gone.runs if run.at > bound]
     return [
