--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,6 +23,8 @@
 import zlib
 
 HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+_PICKED: set[int] = set()
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 NODE_COMMAND = ("target/app/run.py",)
 HEARTBEAT_S = 1.5
@@ -60,27 +63,33 @@
 
 
 def pick_ports(count: int) -> int:
-    """Returns the first of some consecutive free ports."""
+    """Returns the first of some consecutive free ports.
+
+    They lie below those that the system gives to outgoing connections.
+    """
     for _ in range(200):
-        with socket.socket() as first:
-            first.bind((HOST, 0))
-            port = first.getsockname()[1]
-        if port + count > 60_000:
-            continue
-        try:
-            with contextlib.ExitStack() as stack:
-                for number in range(port, port + count):
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        taken = stack.enter_context(
-                            socket.socket(socket.AF_INET, kind)
-                        )
-                        taken.bind((HOST, number))
-        except OSError:
-            continue
-        return port
+        port = random.randrange(FIRST_PORT, LAST_PORT - count)
+        numbers = range(port, port + count)
+        if _PICKED.isdisjoint(numbers) and _are_free(numbers):
+            _PICKED.update(numbers)
+            return port
     raise CannotRunError("no free ports")
 
 
+def _are_free(numbers: range) -> bool:
+    try:
+        with contextlib.ExitStack() as stack:
+            for number in numbers:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    taken = stack.enter_context(
+                        socket.socket(socket.AF_INET, kind)
+                    )
+                    taken.bind((HOST, number))
+    except OSError:
+        return False
+    return True
+
+
 # HTTP.
 
 
