Remember every departure of a target that is acknowledged

Cause: a departure with the id of the current record, but of a later incarnation, changed only the record of the earlier one. The late first heartbeat of the later incarnation then made it usable. On related paths a departure without a start, one of an earlier incarnation, and a drain in a heartbeat that is late or of an unknown service were acknowledged without being remembered, applied or saved either.

Change: one table holds the latest incarnation of each target that leaves, and the current record always follows it. Every report of an end is saved before it is answered. A heartbeat of a target at another address is answered with 409, since nothing is done about it.

--- a/libs/mesh/src/filbertlift_mesh/announcements.py
+++ b/libs/mesh/src/filbertlift_mesh/announcements.py
@@ -14,10 +14,10 @@
 # A target gets no new calls once its last heartbeat is older than this many
 # heartbeat intervals.
 MAX_MISSED_BEATS: Final = 4.0
-# Incarnations that are remembered as leaving; later ones replace the oldest.
+# Targets that are remembered as leaving; later ones replace the oldest.
 MAX_LEAVING: Final = 16
-
-_Key = tuple[str, int]
+# Result of a heartbeat that names another address than that of the target.
+OTHER_ADDRESS: Final = "other-address"
 
 
 @attrs.frozen
@@ -67,9 +67,10 @@
     current: directory.TargetRecord | None = None
     heard_at: float = float("-inf")
     _sequence: int = -1
-    # State of incarnations that leave, whether or not they are current. A node
-    # that has just started may hear of a departure before any heartbeat.
-    _leaving: OrderedDict[_Key, directory.TargetState] = attrs.field(
+    # The latest incarnation of each target that leaves, by the target's id,
+    # whether or not it is current: its departure may arrive before any of its
+    # heartbeats. Earlier incarnations of the target ended when it started.
+    _leaving: OrderedDict[str, directory.TargetRecord] = attrs.field(
         factory=OrderedDict
     )
 
@@ -86,27 +87,35 @@
 
         Service and slots are left out.
         """
-        states = dict(self._leaving)
+        departed = dict(self._leaving)
         held = self.current
         if held is not None and self.is_leaving:
-            key = _get_key(held)
-            states[key] = max(held.state, states.pop(key, held.state))
-        return [
-            directory.TargetRecord(target_id, born_ms, "", 0, state)
-            for (target_id, born_ms), state in states.items()
-        ]
+            departed[held.target_id] = max(
+                _strip(held),
+                departed.pop(held.target_id, _strip(held)),
+                key=_get_rank,
+            )
+        return list(departed.values())
 
     def note_beat(self, beat: Heartbeat, now: float) -> str:
         """Processes a heartbeat.
 
+        The drain that a heartbeat reports is remembered also if the heartbeat
+        is ignored otherwise, since it is acknowledged to its sender.
+
         Returns:
             `news` if the record changed, `known` if it did not, or the reason
-            why the heartbeat was ignored.
+            why the heartbeat was ignored; `OTHER_ADDRESS` if it is not from
+            the target on this host.
         """
-        target = beat.target
         if beat.address != self.address:
-            return "other-address"
-        self._remember(_get_key(target), target.state)
+            return OTHER_ADDRESS
+        has_changed = self._note_leaving(beat.target)
+        result = self._merge_beat(beat, now)
+        return "news" if has_changed else result
+
+    def _merge_beat(self, beat: Heartbeat, now: float) -> str:
+        target = beat.target
         if self.services is not None and target.service not in self.services:
             return "unknown-service"
         held = self.current
@@ -119,8 +128,7 @@
             assert held is not None
             # Draining is final within an incarnation.
             target = attrs.evolve(target, state=max(held.state, target.state))
-        state = self._leaving.get(_get_key(target), target.state)
-        target = attrs.evolve(target, state=max(state, target.state))
+        target = self._apply_departures(target)
         self._sequence = beat.sequence
         self.heard_at = now
         if target == held:
@@ -128,27 +136,35 @@
         self.current = target
         return "news"
 
-    def note_departure(self, departure: Departure) -> str:
+    def note_departure(self, departure: Departure, unix_ms: int) -> str:
         """Processes a departure notice.
 
+        Args:
+            departure: the notice.
+            unix_ms: current time, in Unix milliseconds.
+
         Returns:
             `news` if the record changed, `known` if the target had left
-            before, `remembered` if no heartbeat of the target has arrived, or
-            the reason why the notice was ignored.
+            before, `remembered` if no heartbeat of the incarnation has
+            arrived, or `earlier-incarnation` if a later one is current.
         """
         held = self.current
         if held is None or held.target_id != departure.target_id:
-            if departure.born_ms is None:
-                return "other-target"
-            key = (departure.target_id, departure.born_ms)
-            self._remember(key, directory.TargetState.LEFT)
+            born_ms = departure.born_ms
+            self._note_left(
+                departure.target_id, unix_ms if born_ms is None else born_ms
+            )
             return "remembered"
-        if departure.born_ms is not None and departure.born_ms < held.born_ms:
+        if departure.born_ms is None:
+            # Whichever incarnation sent the notice has started by now.
+            born_ms = max(unix_ms, held.born_ms)
+        else:
+            born_ms = departure.born_ms
+        if self._note_left(departure.target_id, born_ms):
+            return "news"
+        if born_ms < held.born_ms:
             return "earlier-incarnation"
-        if held.state is directory.TargetState.LEFT:
-            return "known"
-        self.current = attrs.evolve(held, state=directory.TargetState.LEFT)
-        return "news"
+        return "known" if departure.born_ms == held.born_ms else "remembered"
 
     def restore(self, departed: directory.TargetRecord) -> bool:
         """Restores a departure that an earlier node on this host acknowledged.
@@ -156,20 +172,43 @@
         Returns:
             Whether the record of the current incarnation changed.
         """
-        self._remember(_get_key(departed), departed.state)
+        return self._note_leaving(departed)
+
+    def _note_left(self, target_id: str, born_ms: int) -> bool:
+        left = directory.TargetState.LEFT
+        record = directory.TargetRecord(target_id, born_ms, "", 0, left)
+        return self._note_leaving(record)
+
+    def _note_leaving(self, target: directory.TargetRecord) -> bool:
+        """Remembers the state of an incarnation that leaves.
+
+        Returns:
+            Whether the record of the current incarnation changed.
+        """
+        if target.state is directory.TargetState.READY:
+            return False
+        departed = _strip(target)
+        known = self._leaving.pop(target.target_id, departed)
+        self._leaving[target.target_id] = max(known, departed, key=_get_rank)
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
         held = self.current
-        if held is None or _get_key(held) != _get_key(departed):
+        if held is None:
             return False
-        self.current = attrs.evolve(held, state=max(held.state, departed.state))
+        self.current = self._apply_departures(held)
         return self.current != held
 
-    def _remember(self, key: _Key, state: directory.TargetState) -> None:
-        if state is directory.TargetState.READY:
-            return
-        state = max(state, self._leaving.pop(key, state))
-        self._leaving[key] = state
-        while len(self._leaving) > MAX_LEAVING:
-            self._leaving.popitem(last=False)
+    def _apply_departures(
+        self, target: directory.TargetRecord
+    ) -> directory.TargetRecord:
+        """Returns a record with the state that departures leave it in."""
+        departed = self._leaving.get(target.target_id)
+        if departed is None or departed.born_ms < target.born_ms:
+            return target
+        state = departed.state
+        if departed.born_ms > target.born_ms:
+            state = directory.TargetState.LEFT
+        return attrs.evolve(target, state=max(state, target.state))
 
     def get_usable(self, now: float) -> directory.TargetRecord | None:
         """Returns the target's record if new calls may be sent to it."""
@@ -181,5 +220,13 @@
         return held
 
 
-def _get_key(target: directory.TargetRecord) -> _Key:
+def _get_key(target: directory.TargetRecord) -> tuple[str, int]:
     return target.target_id, target.born_ms
+
+
+def _strip(target: directory.TargetRecord) -> directory.TargetRecord:
+    return attrs.evolve(target, service="", slots=0)
+
+
+def _get_rank(target: directory.TargetRecord) -> tuple[int, int]:
+    return target.born_ms, target.state
--- a/libs/mesh/tests/test_announcements.py
+++ b/libs/mesh/tests/test_announcements.py
@@ -2,7 +2,9 @@
 
 import attrs
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from filbertlift_mesh import announcements
 from filbertlift_mesh import directory
@@ -10,6 +12,10 @@
 READY = directory.TargetState.READY
 DRAINING = directory.TargetState.DRAINING
 LEFT = directory.TargetState.LEFT
+# Time at which departures arrive, in Unix milliseconds.
+NOW_MS = 1_000
+# Reports in a random order; fewer than a node remembers.
+MAX_REPORTS = 12
 
 
 def make_beat(sequence, state=READY, born_ms=10, target_id="i-1", **changes):
@@ -71,7 +77,7 @@
     local = make_local()
     local.note_beat(make_beat(1), 0.0)
     departure = announcements.Departure("i-1", 10)
-    assert local.note_departure(departure) == "news"
+    assert local.note_departure(departure, NOW_MS) == "news"
     assert local.note_beat(make_beat(2), 0.1) == "known"
     assert local.get_usable(0.1) is None
 
@@ -80,7 +86,7 @@
     local = make_local()
     local.note_beat(make_beat(1, born_ms=20), 0.0)
     departure = announcements.Departure("i-1", 10)
-    assert local.note_departure(departure) == "earlier-incarnation"
+    assert local.note_departure(departure, NOW_MS) == "earlier-incarnation"
     assert local.get_usable(0.0) is not None
 
 
@@ -88,7 +94,7 @@
     """Guards against calls to a target whose notice a new node acknowledged."""
     local = make_local()
     departure = announcements.Departure("i-1", 10)
-    assert local.note_departure(departure) == "remembered"
+    assert local.note_departure(departure, NOW_MS) == "remembered"
     local.note_beat(make_beat(7), 0.1)
     assert local.get_usable(0.1) is None
     local.note_beat(make_beat(1, born_ms=20), 0.2)
@@ -104,13 +110,84 @@
     assert local.get_usable(0.1) is None
 
 
+def test_a_departure_before_the_first_heartbeat_of_a_restart_is_remembered():
+    """Guards against calls to a target that left soon after its restart.
+
+    It started again under its id, and its departure was acknowledged before
+    any heartbeat of the new incarnation arrived.
+    """
+    local = make_local()
+    local.note_beat(make_beat(5, born_ms=10), 0.0)
+    departure = announcements.Departure("i-1", 20)
+    assert local.note_departure(departure, NOW_MS) == "news"
+    assert local.get_usable(0.1) is None
+    local.note_beat(make_beat(1, born_ms=20), 0.2)
+    assert local.get_usable(0.2) is None
+    local.note_beat(make_beat(1, born_ms=30), 0.3)
+    assert local.get_usable(0.3) is not None
+
+
+def test_a_departure_of_a_restart_is_remembered_after_that_of_its_forerunner():
+    """Guards against a departure that is taken for one that is known."""
+    local = make_local()
+    local.note_beat(make_beat(5, born_ms=10), 0.0)
+    local.note_departure(announcements.Departure("i-1", 10), NOW_MS)
+    departure = announcements.Departure("i-1", 20)
+    assert local.note_departure(departure, NOW_MS) == "remembered"
+    local.note_beat(make_beat(1, born_ms=20), 0.1)
+    assert local.get_usable(0.1) is None
+
+
+@pytest.mark.parametrize(
+    ("services", "drain"),
+    [
+        ({"a"}, make_beat(3, DRAINING)),
+        ({"b"}, make_beat(9, DRAINING)),
+    ],
+)
+def test_a_drain_counts_in_a_heartbeat_that_is_ignored_otherwise(
+    services, drain
+):
+    """Guards against calls to a target after its drain was acknowledged.
+
+    The heartbeat is late, or of a service that a version has just dropped.
+    """
+    local = make_local(services={"a"})
+    local.note_beat(make_beat(4), 0.0)
+    local.services = services
+    assert local.note_beat(drain, 0.1) == "news"
+    assert local.get_usable(0.1) is None
+    local.services = {"a"}
+    local.note_beat(make_beat(10), 0.2)
+    assert local.get_usable(0.2) is None
+
+
+def test_a_departure_without_a_start_counts_for_all_started_incarnations():
+    """Guards against a departure that is acknowledged and then forgotten.
+
+    No heartbeat of the target, or only one of its forerunner, has arrived.
+    """
+    local = make_local()
+    departure = announcements.Departure("i-1", None)
+    assert local.note_departure(departure, 25) == "remembered"
+    local.note_beat(make_beat(1, born_ms=10), 0.0)
+    assert local.get_usable(0.0) is None
+    local.note_beat(make_beat(1, born_ms=20), 0.0)
+    assert local.get_usable(0.0) is None
+    local.note_beat(make_beat(1, born_ms=30), 0.0)
+    assert local.get_usable(0.0) is not None
+    # The clock was set back since the target started.
+    assert local.note_departure(departure, 29) == "news"
+    assert local.get_usable(0.0) is None
+
+
 def test_departures_of_other_targets_do_not_accumulate():
     """Guards against memory that grows with forged notices."""
     local = make_local()
     local.note_beat(make_beat(1), 0.0)
     for number in range(1000):
         departure = announcements.Departure(f"i-x{number}", number)
-        assert local.note_departure(departure) == "remembered"
+        assert local.note_departure(departure, NOW_MS) == "remembered"
     assert local.get_usable(0.0) is not None
     assert len(local._leaving) == announcements.MAX_LEAVING
 
@@ -147,3 +224,42 @@
         assert held is None or local.current.born_ms >= held.born_ms
         usable = local.get_usable(0.0)
         assert usable is None or usable.born_ms not in drained
+
+
+REPORTS = strategies.tuples(
+    strategies.sampled_from(["i-1", "i-2"]),
+    strategies.integers(1, 3),
+    strategies.integers(1, 4),
+    strategies.sampled_from((READY, DRAINING, LEFT)),
+    strategies.booleans(),
+)
+
+
+@settings(max_examples=1_000)
+@given(strategies.lists(REPORTS, max_size=MAX_REPORTS))
+def test_an_incarnation_is_never_used_after_a_report_of_its_end(found):
+    """Guards against reports in any order, with restarts of target and node.
+
+    Each report is acknowledged to the target. A node that starts knows the
+    departures that were saved.
+    """
+    local = make_local()
+    ended = set()
+    for target_id, born_ms, sequence, state, is_restart in found:
+        if state is LEFT:
+            departure = announcements.Departure(target_id, born_ms)
+            local.note_departure(departure, NOW_MS)
+        else:
+            beat = make_beat(sequence, state, born_ms, target_id)
+            local.note_beat(beat, 0.0)
+        if state is not READY:
+            ended.add((target_id, born_ms))
+        if is_restart:
+            departures = local.list_departures()
+            local = make_local()
+            for departed in departures:
+                local.restore(departed)
+        usable = local.get_usable(0.0)
+        assert usable is None or (
+            (usable.target_id, usable.born_ms) not in ended
+        )
--- a/libs/sidecar/src/filbertlift_sidecar/control.py
+++ b/libs/sidecar/src/filbertlift_sidecar/control.py
@@ -12,6 +12,7 @@
 
 from filbertlift_core import exceptions as core_exceptions
 from filbertlift_mesh import announcements
+from filbertlift_mesh import directory
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import metrics as node_metrics
 from filbertlift_sidecar import rejections
@@ -47,6 +48,7 @@
             malformed, and returns None for any other request.
         target: state of the target.
         noted: notes the reports that were rejected.
+        get_unix_ms: returns the time of day, in Unix milliseconds.
     """
 
     reactor: Any
@@ -56,6 +58,7 @@
     log: eventlog.EventLog
     metrics: node_metrics.NodeMetrics
     noted: rejections.Rejections
+    get_unix_ms: Callable[[], int]
 
     def handle(self, request: http.Request, reply: replies.Reply) -> None:
         """Answers one request of the target."""
@@ -72,25 +75,19 @@
         if isinstance(message, announcements.Heartbeat):
             result = self.target.note_beat(message, self.reactor.seconds())
         else:
-            result = self.target.note_departure(message)
+            result = self.target.note_departure(message, self.get_unix_ms())
         self.metrics.beats.labels(result).inc()
         if result != "known":
             self._log_result(message, result)
         if result == "news":
             self.events.on_change()
-        if self._is_departure(result):
+        if result == announcements.OTHER_ADDRESS:
+            self._send(reply, 409)
+        elif _reports_end(message):
             self._save(reply)
         else:
             self._send(reply, 200)
 
-    def _is_departure(self, result: str) -> bool:
-        """Returns whether the result of a message has to be saved.
-
-        Otherwise a node that starts here could use the target again.
-        """
-        is_change = result == "news" and self.target.is_leaving
-        return is_change or result == "remembered"
-
     def _save(self, reply: replies.Reply) -> None:
         saved = self.events.save()
         saved.addTimeout(SAVE_TIMEOUT_S, self.reactor)
@@ -129,3 +126,14 @@
     def _send(self, reply: replies.Reply, status: int) -> None:
         headers = (http.Header("Content-Type", "application/json"),)
         reply.send(status, headers, b"{}")
+
+
+def _reports_end(message: TargetMessage) -> bool:
+    """Returns whether a message says that its sender drains or has left.
+
+    Its answer is an acknowledgement also if the message was ignored otherwise,
+    and a node that starts on this host has to know of it.
+    """
+    if isinstance(message, announcements.Departure):
+        return True
+    return message.target.state is not directory.TargetState.READY
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -119,7 +119,7 @@
         )
         own = directory.HostRecord(
             settings.peers,
-            int(time.time() * 1000),
+            _get_unix_ms(),
             0,
             settings.place,
             False,
@@ -190,6 +190,7 @@
             log,
             meters,
             noted,
+            _get_unix_ms,
         )
         self._servers: list[server.HttpServer] = []
         self._caller_server: server.HttpServer | None = None
@@ -443,3 +444,7 @@
         head_s=limits.head_s,
         idle_s=limits.idle_s,
     )
+
+
+def _get_unix_ms() -> int:
+    return int(time.time() * 1000)
--- a/libs/sidecar/tests/test_call_machine.py
+++ b/libs/sidecar/tests/test_call_machine.py
@@ -264,7 +264,7 @@
         address = list(self.nodes)[which % KEEPERS]
         node = self.nodes[address]
         node.target.note_departure(
-            announcements.Departure(f"i-{address.host}", 1)
+            announcements.Departure(f"i-{address.host}", 1), 1_000
         )
         node.refresh_target()
 
--- a/libs/sidecar/tests/test_control.py
+++ b/libs/sidecar/tests/test_control.py
@@ -1,5 +1,6 @@
 """Tests of the endpoint for the reports of the target."""
 
+import attrs
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -15,6 +16,7 @@
 from filbertlift_transport import http
 
 ADDRESS = "10.0.0.1:8000"
+NOW_MS = 1_000
 
 
 def make_beat(target_id="i-1", born_ms=5, sequence=1, state="READY"):
@@ -53,6 +55,7 @@
             log,
             metrics.NodeMetrics.create(),
             rejections.Rejections(log, self.rejected.append),
+            lambda: NOW_MS,
         )
 
     def parse(self):
@@ -96,6 +99,13 @@
     assert bench.rejected == ["control.malformed"]
 
 
+def test_a_drain_of_a_target_elsewhere_is_not_acknowledged(bench):
+    """Guards against an acknowledgement of a drain that nobody remembers."""
+    elsewhere = attrs.evolve(make_beat(state="DRAINING"), address="10.9.9.9:1")
+    assert bench.handle(elsewhere) == [409]
+    assert bench.saved == []
+
+
 def test_a_departure_is_acknowledged_once_it_is_saved(bench):
     """Guards against an acknowledgement that a restart forgets."""
     bench.handle(make_beat())
@@ -136,3 +146,27 @@
         assert started.get_usable(0.0) is None
     started.note_beat(make_beat("i-3", 11), 0.0)
     assert started.get_usable(0.0).target_id == "i-3"
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        announcements.Departure("i-1", 9),
+        announcements.Departure("i-1", None),
+        make_beat(born_ms=9, state="DRAINING"),
+        make_beat(born_ms=4, sequence=9, state="DRAINING"),
+        make_beat(sequence=1, state="DRAINING"),
+    ],
+)
+def test_every_acknowledged_end_survives_a_restart(bench, report):
+    """Guards against a target that ended and is used again by a new node.
+
+    The report may be of a later incarnation, of an earlier one, or late.
+    """
+    bench.handle(make_beat(sequence=3))
+    assert bench.handle(report) == [200]
+    started = bench.restart()
+    is_departure = isinstance(report, announcements.Departure)
+    born_ms = report.born_ms if is_departure else report.target.born_ms
+    started.note_beat(make_beat(born_ms=born_ms or 5, sequence=2), 0.0)
+    assert started.get_usable(0.0) is None
