Start the round robin of a route over when its weights change

Cause: balances of the round robin outlived the weights that they were measured in, and a service without weight was chosen while it was due something.

Change: the balances are kept with the services and weights that they belong to, and dropped when those differ. A start over from zero would send the first calls of all nodes to the greatest weight after each change, so a route starts at a random position of its cycle. A service without weight takes no part.

--- a/libs/mesh/src/filbertlift_mesh/configuration.py
+++ b/libs/mesh/src/filbertlift_mesh/configuration.py
@@ -5,14 +5,21 @@
 also check the caller.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
+import random
+from typing import Final
 
 import attrs
 
 from filbertlift_mesh import exceptions
 
+# Number of positions at which the round robin of a route may start. Weights in
+# whole percent repeat within half of it.
+MAX_SKIPPED_CALLS: Final = 200
+
 
 class CallKind(enum.Enum):
     """Kind of the calls of a route.
@@ -179,44 +186,70 @@
             )
 
 
+@attrs.define(eq=False)
+class _Rotation:
+    """Round robin over one list of weighted services.
+
+    Attributes:
+        shares: the services and their weights, in the units of `balances`.
+        balances: weight that each service is due, by its name.
+    """
+
+    shares: tuple[Share, ...]
+    balances: dict[str, float]
+
+    @classmethod
+    def from_shares(cls, shares: tuple[Share, ...]) -> "_Rotation":
+        """Returns a rotation at its beginning."""
+        return cls(
+            shares,
+            {share.service: 0.0 for share in shares if share.weight > 0},
+        )
+
+    def choose_service(self) -> str:
+        """Returns the next service; one without weight is never chosen."""
+        balances = self.balances
+        total = 0.0
+        for share in self.shares:
+            if share.weight > 0:
+                balances[share.service] += share.weight
+                total += share.weight
+        service = max(balances, key=balances.__getitem__)
+        balances[service] -= total
+        return service
+
+
 @attrs.define(eq=False)
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route.
 
     A few consecutive calls already match the weights closely, while a random
-    choice needs hundreds of calls for that.
+    choice needs hundreds of calls for that. A route whose services or weights
+    change starts over, since balances in the old weights mean nothing in the
+    new ones.
+
+    Attributes:
+        rng: source of the position at which a route starts. If all nodes
+            started at the same one, their first calls would all go to the
+            service with the greatest weight.
     """
 
-    _credits: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    rng: random.Random
+    _rotations: dict[str, _Rotation] = attrs.field(factory=dict)
 
     def choose_service(self, route: Route) -> str:
         """Returns the service of the next call of a route."""
         if len(route.shares) == 1:
             return route.shares[0].service
-        balances = self._credits.get(route.name)
-        if balances is None or len(balances) != len(route.shares):
-            balances = {share.service: 0.0 for share in route.shares}
-            self._credits[route.name] = balances
-        total = 0.0
-        for share in route.shares:
-            balances[share.service] = (
-                balances.get(share.service, 0.0) + share.weight
-            )
-            total += share.weight
-        service = max(
-            (share.service for share in route.shares),
-            key=lambda name: balances[name],
-        )
-        balances[service] -= total
-        return service
-
-    def drop_changed_routes(self, configuration: Configuration) -> None:
-        """Drops the balances of routes whose services changed."""
-        shares = {
-            route.name: {share.service for share in route.shares}
-            for prefixes in configuration.routes.values()
-            for route in prefixes.values()
-        }
-        for name, balances in list(self._credits.items()):
-            if shares.get(name) != set(balances):
-                del self._credits[name]
+        rotation = self._rotations.get(route.name)
+        if rotation is None or rotation.shares != route.shares:
+            rotation = _Rotation.from_shares(route.shares)
+            for _ in range(self.rng.randrange(MAX_SKIPPED_CALLS)):
+                rotation.choose_service()
+            self._rotations[route.name] = rotation
+        return rotation.choose_service()
+
+    def drop_other_routes(self, names: Collection[str]) -> None:
+        """Drops the balances of routes that are not among these."""
+        for name in self._rotations.keys() - set(names):
+            del self._rotations[name]
--- a/libs/mesh/tests/test_configuration.py
+++ b/libs/mesh/tests/test_configuration.py
@@ -1,6 +1,7 @@
 """Tests of configurations and their routes."""
 
 import collections
+import random
 
 import pytest
 
@@ -76,23 +77,92 @@
         make_configuration(make_route("one"), make_route("two"))
 
 
-def test_a_few_calls_come_close_to_the_weights():
+def count_services(rotation, route, calls):
+    return collections.Counter(
+        rotation.choose_service(route) for _ in range(calls)
+    )
+
+
+@pytest.fixture(params=range(5))
+def rotation(request):
+    """A round robin at one of several positions."""
+    return configuration.WeightedRoundRobin(random.Random(request.param))
+
+
+def test_a_few_calls_come_close_to_the_weights(rotation):
     """Guards against a random choice, which misses the weights on few calls."""
     route = make_route(shares=(("a", 90), ("b", 10)))
-    rotation = configuration.WeightedRoundRobin()
-    counts = collections.Counter(
-        rotation.choose_service(route) for _ in range(20)
-    )
-    assert counts == {"a": 18, "b": 2}
+    assert count_services(rotation, route, 20) == {"a": 18, "b": 2}
 
 
-def test_a_route_with_changed_services_starts_over():
-    rotation = configuration.WeightedRoundRobin()
+def test_a_route_with_changed_services_starts_over(rotation):
     rotation.choose_service(make_route(shares=(("a", 9), ("b", 1))))
     changed = make_route(shares=(("b", 1.0),))
-    rotation.drop_changed_routes(make_configuration(changed))
     assert rotation.choose_service(changed) == "b"
 
 
+@pytest.mark.parametrize("calls_before", [1, 9, 30])
+@pytest.mark.parametrize(
+    "before", [(950, 50), (50, 950), (0, 1), (1, 1), (1e9, 1), (0.3, 0.7)]
+)
+@pytest.mark.parametrize(
+    "after", [(1, 0), (0, 1), (0.5, 0.5), (9, 1), (950, 50), (1e6, 1e6)]
+)
+def test_the_new_weights_count_from_their_first_call(
+    rotation, before, after, calls_before
+):
+    """Guards against balances of old weights that new ones work off.
+
+    After weights with a greater sum, hundreds of calls went to a service that
+    had lost its weight.
+    """
+    count_services(
+        rotation,
+        make_route(shares=zip("ab", before, strict=True)),
+        calls_before,
+    )
+    calls = 40
+    counts = count_services(
+        rotation, make_route(shares=zip("ab", after, strict=True)), calls
+    )
+    for service, weight in zip("ab", after, strict=True):
+        due = calls * weight / sum(after)
+        assert abs(counts[service] - due) <= 1
+        assert weight > 0 or not counts[service]
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (0.7, 0.3), (2, 1, 1)])
+def test_the_first_calls_of_many_nodes_match_the_weights(weights):
+    """Guards against nodes that all begin with the greatest weight."""
+    route = make_route(shares=zip("abc", weights, strict=False))
+    counts = collections.Counter()
+    for seed in range(400):
+        rotation = configuration.WeightedRoundRobin(random.Random(seed))
+        counts += count_services(rotation, route, 2)
+    for service, weight in zip("abc", weights, strict=False):
+        share = counts[service] / counts.total()
+        assert share == pytest.approx(weight / sum(weights), abs=0.05)
+
+
+def test_weights_that_change_often_are_matched_on_the_whole():
+    """Guards against a start over that favours the greatest weight."""
+    rotation = configuration.WeightedRoundRobin(random.Random(1))
+    counts = collections.Counter()
+    for number in range(1000):
+        scale = 1 + number % 2
+        route = make_route(shares=(("a", 4 * scale), ("b", scale)))
+        counts += count_services(rotation, route, 2)
+    assert counts["b"] / counts.total() == pytest.approx(0.2, abs=0.05)
+
+
+def test_routes_that_are_gone_are_dropped(rotation):
+    """Guards against memory that grows with each version."""
+    for number in range(10):
+        name = f"r-{number}"
+        rotation.choose_service(make_route(name, shares=(("a", 1), ("b", 1))))
+        rotation.drop_other_routes({name})
+    assert list(rotation._rotations) == ["r-9"]
+
+
 def test_host_names_are_compared_without_case():
     assert make_configuration(make_route()).find_route("H.Example", "/x/")
--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -72,8 +72,8 @@
         own_address: address at which peers reach this node.
         caller_service: service of this host, sent to targets in a header.
         refresh: updates the placement before a target is chosen.
-        configuration: the version in force, None before the first.
         round_robin: distributes the calls of a route over its services.
+        configuration: the version in force, None before the first.
         patience: deadlines of callers, which show returning ones.
         is_leaving: whether each answer closes its connection.
         refusal: reason with which all new calls are refused, or empty.
@@ -92,10 +92,8 @@
     log: eventlog.EventLog
     metrics: node_metrics.NodeMetrics
     refresh: Callable[[], None]
+    round_robin: configurations.WeightedRoundRobin
     configuration: configurations.Configuration | None = None
-    round_robin: configurations.WeightedRoundRobin = attrs.field(
-        factory=configurations.WeightedRoundRobin
-    )
     is_leaving: bool = False
     refusal: str = ""
     flows: set[flow.Flow] = attrs.field(factory=set)
@@ -111,8 +109,9 @@
         """Routes new calls by a new version of the configuration."""
         is_first = self.configuration is None
         self.configuration = version
-        self.round_robin.drop_changed_routes(version)
-        self.patience.drop_other_routes(version.list_route_names())
+        names = version.list_route_names()
+        self.round_robin.drop_other_routes(names)
+        self.patience.drop_other_routes(names)
         if is_first:
             self._route_held_calls()
 
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -291,6 +291,7 @@
             self._log,
             self._meters,
             self._refresh_placement,
+            configuration.WeightedRoundRobin(rng),
         )
 
     def _listen(self, address: model.Address, handle: server.Handler) -> None:
--- a/libs/sidecar/tests/test_call_machine.py
+++ b/libs/sidecar/tests/test_call_machine.py
@@ -170,6 +170,7 @@
             log,
             metrics.NodeMetrics.create(),
             lambda: None,
+            configuration.WeightedRoundRobin(random.Random(1)),
         )
         self.entry.put_in_force(
             configuration.Configuration.from_routes(
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -95,6 +95,7 @@
             eventlog.EventLog(self.clock.seconds, lambda _data: True),
             metrics.NodeMetrics.create(),
             lambda: None,
+            configuration.WeightedRoundRobin(random.Random(1)),
         )
         route = configuration.Route(
             "r",
