Answer every call before the end of a planned stop

Another operator reported that requests which came late in the grace period of a planned stop were passed on and then cut off without an answer. Here calls in progress were cut when their connections were closed 0.8 s before the end of the grace period (`node.stop cut_calls`).

Cause: the deadline of a call came from its caller and its route alone, so that it could lie behind the end of the process. Targets and keepers were told that time too, and queued calls that could not end.

Change: on SIGTERM every call, and each that is accepted during the notice, gets a deadline before the end. Keepers refuse at once what cannot be served by then, and a call that is still open is answered with 504. The order of the steps is a module of its own, tested without a node; the notice is shorter where the grace period is.

Evidence: 8 new tests of calls at a leaving node fail before, since nothing limits their deadlines.

--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -76,6 +76,8 @@
         configuration: the version in force, None before the first.
         patience: deadlines of callers, which show returning ones.
         is_leaving: whether each answer closes its connection.
+        last_answer_at: when every call has to be answered, in seconds; no
+            limit unless this node leaves.
         refusal: reason with which all new calls are refused, or empty.
         flows: calls in progress.
         held: calls that wait for the first version.
@@ -95,6 +97,7 @@
     round_robin: configurations.WeightedRoundRobin
     configuration: configurations.Configuration | None = None
     is_leaving: bool = False
+    last_answer_at: float = math.inf
     refusal: str = ""
     flows: set[flow.Flow] = attrs.field(factory=set)
     held: set["HeldCall"] = attrs.field(factory=set)
@@ -127,6 +130,17 @@
             return
         self._route(request, reply, self.reactor.seconds())
 
+    def leave(self, last_answer_at: float) -> None:
+        """Ends all calls, and those still to come, by a time in seconds.
+
+        Their connections close after the answers.
+        """
+        self.is_leaving = True
+        self.last_answer_at = last_answer_at
+        for call in list(self.flows):
+            call.reply.close_after()
+            call.limit(last_answer_at)
+
     def note_failure(self, route: configurations.Route, now: float) -> None:
         """Records that a call was refused or failed; its caller may return."""
         self.patience.get_route(route.name).note_failure(now)
@@ -162,8 +176,11 @@
             service,
             self._make_headers(request),
             arrived_at,
-            arrived_at + min(caller_wait_s, route.timeout_s),
-            arrived_at + caller_wait_s,
+            min(
+                arrived_at + min(caller_wait_s, route.timeout_s),
+                self.last_answer_at,
+            ),
+            min(arrived_at + caller_wait_s, self.last_answer_at),
             self.configuration.version,
             waited_s,
         ).start()
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -104,6 +104,16 @@
         self._timer = self.entry.reactor.callLater(left_s, self._time_out)
         self._start_attempt()
 
+    def limit(self, deadline: float) -> None:
+        """Ends the call by a time in seconds, if it would end later."""
+        self.caller_deadline = min(self.caller_deadline, deadline)
+        if self.is_over or self.deadline <= deadline:
+            return
+        self.deadline = deadline
+        left_s = max(0.0, deadline - self._now())
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(left_s)
+
     def _now(self) -> float:
         now: float = self.entry.reactor.seconds()
         return now
@@ -373,7 +383,8 @@
             self._end("cut-at-deadline", 0)
             self.reply.abort()
             return
-        self._fail(504, reasons.TIMEOUT)
+        is_cut = self.deadline >= self.entry.last_answer_at
+        self._fail(504, reasons.LEAVING if is_cut else reasons.TIMEOUT)
 
     def _handle_caller_gone(self) -> None:
         if self.is_over:
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -34,6 +34,7 @@
 from filbertlift_sidecar import rejections
 from filbertlift_sidecar import remote
 from filbertlift_sidecar import settings as node_settings
+from filbertlift_sidecar import shutdown
 from filbertlift_sidecar import uplink
 from filbertlift_sidecar import versions
 from filbertlift_store import interface
@@ -41,21 +42,6 @@
 from filbertlift_transport import reply as replies
 from filbertlift_transport import server
 
-# Time after SIGTERM during which calls of this host are still served, in
-# seconds. Meanwhile two readiness checks, one per second, tell callers to go
-# elsewhere. Later calls are refused, since they might not end before the
-# process does.
-LEAVE_NOTICE_S: Final = 2.6
-# Time before the end of the grace period at which work in progress is cut off,
-# in seconds. A host that runs five times slower takes 0.5 s to end its process.
-STOP_MARGIN_S: Final = 0.8
-# Time for which a leaving keeper still accepts calls of peers, which may not
-# have learned of it yet, in seconds.
-PEER_NOTICE_S: Final = 0.5
-DRAIN_CHECK_INTERVAL_S: Final = 0.05
-# Time for callers to read the end of their answers before the node closes their
-# connections, in seconds.
-LINGER_S: Final = 0.15
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
 # The platform and the target send no large requests.
 SMALL_LIMITS: Final = http.Limits(body_bytes=65_536, connections=100)
@@ -224,22 +210,26 @@
         if self._is_stopping:
             return
         self._is_stopping = True
-        now = self._reactor.seconds()
         self._log.log(
             "node.leaving",
             calls=len(self.entry.flows),
             kept=self._keeper.in_flight,
         )
-        self.entry.is_leaving = True
-        for flow in self.entry.flows:
-            flow.reply.close_after()
-        self._update_own()
-        self._reactor.callLater(PEER_NOTICE_S, self._refuse_peers)
-        self._reactor.callLater(
-            LEAVE_NOTICE_S,
-            self._drain,
-            now + self.settings.grace_s - STOP_MARGIN_S,
+        stop = shutdown.PlannedStop(
+            self._reactor,
+            shutdown.StopActions(
+                self._refuse_peers,
+                self._refuse_callers,
+                self._is_idle,
+                self._is_sent,
+                self._stop_accepting,
+                self._close,
+            ),
+            self.settings.grace_s,
         )
+        stop.start()
+        self.entry.leave(stop.get_last_answer_at())
+        self._update_own()
 
     def reload(self, settings: node_settings.NodeSettings) -> None:
         """Applies the settings that may change while the node runs."""
@@ -392,31 +382,21 @@
     def _refuse_peers(self) -> None:
         self._inbound.refusal = reasons.LEAVING
 
-    def _drain(self, limit: float) -> None:
+    def _refuse_callers(self) -> None:
         self.entry.refusal = reasons.LEAVING
-        self._check_drain(limit)
 
-    def _check_drain(self, limit: float) -> None:
+    def _is_idle(self) -> bool:
         has_calls = bool(self.entry.flows or self.entry.held)
-        is_idle = not has_calls and not self._keeper.in_flight
-        is_sent = not self._uplink.is_busy and not self._has_unsent_answers()
-        if self._reactor.seconds() >= limit:
-            self._close()
-            return
-        if is_idle and is_sent:
-            # The last answers may still be in the kernel's send buffer.
-            for part in self._servers:
-                part.stop_accepting()
-            self._reactor.callLater(LINGER_S, self._close)
-            return
-        self._reactor.callLater(
-            DRAIN_CHECK_INTERVAL_S, self._check_drain, limit
-        )
+        return not has_calls and not self._keeper.in_flight
 
-    def _has_unsent_answers(self) -> bool:
-        return (
-            self._caller_server is not None and self._caller_server.has_unsent
-        )
+    def _is_sent(self) -> bool:
+        callers = self._caller_server
+        has_unsent = callers is not None and callers.has_unsent
+        return not self._uplink.is_busy and not has_unsent
+
+    def _stop_accepting(self) -> None:
+        for part in self._servers:
+            part.stop_accepting()
 
     def _close(self) -> None:
         self._log.log(
--- /dev/null
+++ b/libs/sidecar/src/filbertlift_sidecar/shutdown.py
@@ -0,0 +1,96 @@
+"""Order of the steps of a planned stop of a node.
+
+New calls are served for a short notice, then refused. Every call that was
+accepted is answered before the process ends: its deadline is at most
+`get_last_answer_at`, whatever its caller and its route allow.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import attrs
+
+# Time after SIGTERM during which calls of this host are still served, in
+# seconds. Meanwhile two readiness checks, one per second, tell callers to go
+# elsewhere. Later calls are refused, since they might not end before the
+# process does.
+LEAVE_NOTICE_S: Final = 2.6
+# Time for which a leaving keeper still accepts calls of peers, which may not
+# have learned of it yet, in seconds.
+PEER_NOTICE_S: Final = 0.5
+# Time before the end of the grace period at which the last calls are answered,
+# in seconds.
+ANSWER_MARGIN_S: Final = 0.8
+# Time before the end of the grace period at which the node closes even if
+# callers have not taken their answers, in seconds. A host that runs five times
+# slower takes 0.5 s to end its process.
+CLOSE_MARGIN_S: Final = 0.5
+CHECK_INTERVAL_S: Final = 0.05
+# Time for callers to read the end of their answers before the node closes their
+# connections, in seconds.
+LINGER_S: Final = 0.15
+
+
+@attrs.frozen
+class StopActions:
+    """What a node does in a planned stop, and what it waits for.
+
+    Attributes:
+        refuse_peers: refuses new calls of peers from now on.
+        refuse_callers: refuses new calls of this host from now on.
+        is_idle: returns whether no call is in progress.
+        is_sent: returns whether callers and peers have taken all answers.
+        stop_accepting: closes the ports, and connections without a call.
+        close: ends everything that is left.
+    """
+
+    refuse_peers: Callable[[], None]
+    refuse_callers: Callable[[], None]
+    is_idle: Callable[[], bool]
+    is_sent: Callable[[], bool]
+    stop_accepting: Callable[[], None]
+    close: Callable[[], None]
+
+
+@attrs.define(eq=False)
+class PlannedStop:
+    """A stop in progress.
+
+    Attributes:
+        grace_s: time from SIGTERM until the process is killed, in seconds.
+    """
+
+    reactor: Any
+    actions: StopActions
+    grace_s: float
+    _started_at: float = 0.0
+
+    def start(self) -> None:
+        """Begins the stop."""
+        self._started_at = self.reactor.seconds()
+        self.reactor.callLater(PEER_NOTICE_S, self.actions.refuse_peers)
+        # With a short grace period there is no time for the whole notice.
+        serving_s = self.get_last_answer_at() - self._started_at
+        notice_s = min(LEAVE_NOTICE_S, serving_s / 2)
+        self.reactor.callLater(notice_s, self._end_notice)
+
+    def get_last_answer_at(self) -> float:
+        """Returns when every call has to be answered, in seconds."""
+        return self._started_at + max(0.0, self.grace_s - ANSWER_MARGIN_S)
+
+    def _end_notice(self) -> None:
+        self.actions.refuse_callers()
+        self._check()
+
+    def _check(self) -> None:
+        if self.actions.is_idle() and self.actions.is_sent():
+            # The last answers may still be in the kernel's send buffer.
+            self.actions.stop_accepting()
+            self.reactor.callLater(LINGER_S, self.actions.close)
+            return
+        close_at = self._started_at + self.grace_s - CLOSE_MARGIN_S
+        if self.reactor.seconds() >= close_at:
+            self.actions.close()
+            return
+        self.reactor.callLater(CHECK_INTERVAL_S, self._check)
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -300,6 +300,43 @@
     assert [view.in_flight for view in views] == [0, 0]
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "download"])
+@pytest.mark.parametrize("is_late", [False, True], ids=["before", "after"])
+def test_every_call_is_answered_before_a_leaving_node_ends(kind, is_late):
+    """Guards against calls that are cut off without an answer.
+
+    They were sent to a target before the node was told to stop, or while it
+    was leaving, and last longer than its grace period.
+    """
+    bench = Bench(kind)
+    if is_late:
+        bench.entry.leave(0.5)
+    reply = bench.call(**{"x-deadline": "60000"})
+    bench.clock.advance(0.1)
+    if not is_late:
+        bench.entry.leave(0.5)
+    bench.clock.advance(0.39)
+    assert reply.sent == []
+    bench.clock.advance(0.01)
+    assert reply.sent[0][0] == 504
+    assert reply.closes
+    assert not bench.entry.flows
+
+
+def test_a_call_of_a_leaving_node_tells_its_target_the_time_left(bench):
+    """Guards against calls that are queued beyond the end of their node."""
+    bench.entry.leave(0.25)
+    bench.call()
+    assert bench.remote.calls[0][1].left_ms == 250
+
+
+def test_a_leaving_node_does_not_extend_deadlines(bench):
+    reply = bench.call(**{"x-deadline": "100"})
+    bench.entry.leave(5.0)
+    bench.clock.advance(0.11)
+    assert reply.sent[0][0] == 504
+
+
 def test_a_node_about_to_end_refuses_new_calls(bench):
     """Guards against a call that is accepted just before the process ends.
 
