Read a streamed answer only as fast as its caller takes it

Another operator reported a target that sent bytes without end; the node that had called it kept them all and ran out of memory.

Cause: a target was not read while the queue of the keeper's host was half a second long, which is 53 MB on a wide link. Nothing looked at the link to the peer, nor at the caller of the entry, and calls on the target's own host had no limit at all. Bodies of answers to other requests were skipped without end.

Change: the entry sends a pause to the keeper when its caller does not take more of a streamed answer, and ends it when the caller has. A keeper also stops reading while the link to the peer is full or 8 MiB wait for it. Skipped data ends the connection after 16 MiB. Heads were bounded before.

--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -273,17 +273,19 @@
         call: frames.Call,
         on_answer: keepers.AnswerFunction,
         on_chunk: keepers.ChunkFunction,
-    ) -> Callable[[], None]:
-        """Sends a call to the keeper of a target.
-
-        Returns:
-            A function that withdraws the call.
-        """
+    ) -> keepers.SentCall:
+        """Sends a call to the keeper of a target."""
         if view.address == self.own_address:
             kept = self.keeper.submit(call, on_answer, on_chunk)
-            return lambda: self.keeper.cancel(kept)
+            return keepers.SentCall(
+                lambda: self.keeper.cancel(kept),
+                lambda is_paused: self.keeper.pause(kept, is_paused),
+            )
         sent = self.remote.submit(view.address, lane, call, on_answer, on_chunk)
-        return lambda: self.remote.cancel(sent)
+        return keepers.SentCall(
+            lambda: self.remote.cancel(sent),
+            lambda is_paused: self.remote.pause(sent, is_paused),
+        )
 
     def _answer_no_route(
         self, request: http.Request, reply: replies.Reply, hostname: str
--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -36,6 +36,9 @@
 # Answers up to this size are buffered before they are forwarded, so that a
 # truncated one can be replaced by another attempt.
 MAX_BUFFERED_BYTES: Final = 2 * 1024 * 1024
+# Bytes of answers to other requests that are skipped before the answer that is
+# due; a faulty target may send them without end.
+MAX_SKIPPED_BYTES: Final = 16 * 1024 * 1024
 # Interval at which a connection that is not read checks whether the streamed
 # data was passed on, in seconds.
 RESUME_INTERVAL_S: Final = 0.05
@@ -104,6 +107,8 @@
         self._state = answers.AnswerState()
         # Bytes received since the last complete head or part of a body.
         self._pending_bytes = 0
+        # Bytes of bodies that belong to other requests.
+        self._skipped_bytes = 0
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Opens the connection."""
@@ -177,6 +182,8 @@
         head_bytes = max(self._state.head_bytes, self._pending_bytes)
         if not self._is_closed and head_bytes > MAX_HEAD_BYTES:
             self._fail("head-too-large", "head of the answer is too large")
+        elif not self._is_closed and self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail("malformed", "too much data that is not the answer")
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -223,6 +230,7 @@
         """A part of the body arrived."""
         self._pending_bytes = 0
         if self._state.is_mismatched or self._request is None:
+            self._skipped_bytes += len(data)
             return
         if self._state.is_streaming:
             assert self._events is not None
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -1,6 +1,5 @@
 """One call at its entry: its attempts, repeats, hedge and answer."""
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
@@ -38,14 +37,14 @@
         view: the target that was chosen.
         is_hedge: whether it was sent while an earlier one was outstanding.
         sent_at: when it was sent, in seconds.
-        withdraw: withdraws the call; None before it was submitted.
+        sent: controls of the call; None before it was submitted.
         is_over: whether it has ended.
     """
 
     view: placement.TargetView
     is_hedge: bool
     sent_at: float
-    withdraw: Callable[[], None] | None = None
+    sent: keeper.SentCall | None = None
     is_over: bool = False
 
 
@@ -89,6 +88,7 @@
     refusals: int = 0
     is_over: bool = False
     _is_streaming: bool = False
+    _is_paused: bool = False
     _attempts: list[Attempt] = attrs.field(factory=list)
     _search: search.Search = attrs.field(factory=search.Search)
     _retry_after_s: float = 0.0
@@ -136,7 +136,7 @@
         view.note_sent()
         if not is_hedge:
             self._schedule_hedge(view, now)
-        withdraw = self.entry.submit(
+        sent = self.entry.submit(
             view,
             self._get_lane(),
             self._make_call(now, choice),
@@ -144,7 +144,7 @@
             lambda chunk: self._receive_chunk(attempt, chunk),
         )
         if not attempt.is_over:
-            attempt.withdraw = withdraw
+            attempt.sent = sent
 
     def _make_call(self, now: float, choice: search.Choice) -> frames.Call:
         left_s = max(0.001, self.deadline - now)
@@ -309,6 +309,7 @@
             answer.status, keeper.strip_framing(answer.headers), length
         )
         self.reply.write(answer.body)
+        self._pause_if_full(attempt)
 
     def _receive_chunk(self, attempt: Attempt, chunk: frames.Chunk) -> None:
         if chunk.is_last and not attempt.is_over:
@@ -318,6 +319,7 @@
             return
         self.reply.write(chunk.body)
         if not chunk.is_last:
+            self._pause_if_full(attempt)
             return
         self._attempts.remove(attempt)
         self._end("cut" if chunk.failed else "ok", 0)
@@ -326,6 +328,23 @@
         else:
             self.reply.finish()
 
+    def _pause_if_full(self, attempt: Attempt) -> None:
+        """Stops the target's answer until the caller has taken what it has.
+
+        An answer without end would otherwise fill the memory of this node.
+        """
+        if self._is_paused or attempt.sent is None or not self.reply.is_full:
+            return
+        self._is_paused = True
+        self.reply.on_drained = lambda: self._resume(attempt)
+        attempt.sent.pause(True)
+
+    def _resume(self, attempt: Attempt) -> None:
+        self.reply.on_drained = None
+        self._is_paused = False
+        if not self.is_over and attempt.sent is not None:
+            attempt.sent.pause(False)
+
     # End of the call.
 
     def _relay(self, answer: frames.Answer) -> None:
@@ -430,6 +449,6 @@
                 continue
             attempt.is_over = True
             attempt.view.note_end()
-            if attempt.withdraw is not None:
-                attempt.withdraw()
+            if attempt.sent is not None:
+                attempt.sent.withdraw()
         self._attempts = [kept] if kept is not None else []
--- a/libs/sidecar/src/filbertlift_sidecar/frames.py
+++ b/libs/sidecar/src/filbertlift_sidecar/frames.py
@@ -151,6 +151,19 @@
     stream: decoding.Count
 
 
+@attrs.frozen
+class Pause:
+    """Stops or resumes the reading of a streamed answer at its target.
+
+    Attributes:
+        stream: number of the call.
+        is_paused: whether the caller does not take more of the answer now.
+    """
+
+    stream: decoding.Count
+    is_paused: bool
+
+
 @attrs.frozen
 class Ping:
     """Asks for a pong, which shows that the link works in both directions."""
@@ -198,6 +211,7 @@
     | ConfigurationRequest
     | ConfigurationReply
     | Fragment
+    | Pause
 )
 _KINDS: Final[tuple[type, ...]] = (
     Call,
@@ -209,6 +223,7 @@
     ConfigurationRequest,
     ConfigurationReply,
     Fragment,
+    Pause,
 )
 _NUMBERS: Final = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELDS: Final = {
--- a/libs/sidecar/src/filbertlift_sidecar/inbound.py
+++ b/libs/sidecar/src/filbertlift_sidecar/inbound.py
@@ -17,6 +17,9 @@
 # are no longer read, in seconds. Their sockets hold more than the link sends
 # until they are read again.
 MAX_STREAM_BACKLOG_S: Final = 0.5
+# The same in bytes, for links so wide that the time alone would let the queue
+# take much of the memory.
+MAX_STREAM_BACKLOG_BYTES: Final = 8 * 1024 * 1024
 
 Handler = Callable[[peerlink.PeerLink, frames.Message], None]
 
@@ -53,6 +56,10 @@
             kept = self._calls.get(link, {}).pop(message.stream, None)
             if kept is not None:
                 self.keeper.cancel(kept)
+        elif isinstance(message, frames.Pause):
+            kept = self._calls.get(link, {}).get(message.stream)
+            if kept is not None:
+                self.keeper.pause(kept, message.is_paused)
         else:
             self.on_message(link, message)
 
@@ -88,13 +95,18 @@
             self.uplink.send(link, call.stream, chunk)
 
         kept = self.keeper.submit(
-            call, send_answer, send_chunk, self._is_link_backlogged
+            call, send_answer, send_chunk, lambda: self._is_backlogged(link)
         )
         if not kept.is_over:
             calls[call.stream] = kept
 
-    def _is_link_backlogged(self) -> bool:
-        return self.uplink.backlog_s > MAX_STREAM_BACKLOG_S
+    def _is_backlogged(self, link: peerlink.PeerLink) -> bool:
+        """Returns whether data for a peer waits on this host."""
+        return (
+            link.is_full
+            or self.uplink.backlog_s > MAX_STREAM_BACKLOG_S
+            or self.uplink.queued_bytes > MAX_STREAM_BACKLOG_BYTES
+        )
 
     def _estimate_link_wait(self, call: frames.Call) -> float:
         """Returns how long a large answer would wait for this host's link.
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -41,6 +41,20 @@
 AttemptEnd = outcomes.AttemptEnd
 
 
+@attrs.frozen
+class SentCall:
+    """Controls of a call that was submitted to a keeper.
+
+    Attributes:
+        withdraw: withdraws the call; nothing more is reported.
+        pause: stops or resumes the reading of its streamed answer at the
+            target.
+    """
+
+    withdraw: Callable[[], None]
+    pause: Callable[[bool], None]
+
+
 @attrs.define(eq=False)
 class KeptCall:
     """A call that waits or runs at this keeper.
@@ -54,6 +68,7 @@
         is_backlogged: returns whether streamed data waits to be passed on.
         target_id: target that it was sent to, empty before that.
         is_streaming: whether the head of a streamed answer was reported.
+        is_paused: whether its caller does not take more of the answer now.
         connection: connection that carries it while it runs.
         run_timer: stops the run when it is overdue.
     """
@@ -66,6 +81,7 @@
     is_over: bool = False
     target_id: str = ""
     is_streaming: bool = False
+    is_paused: bool = False
     connection: exchange.TargetConnection | None = None
     run_timer: Any = None
 
@@ -158,6 +174,10 @@
         if kept.call.is_idempotent:
             self._stop_run(kept)
 
+    def pause(self, kept: KeptCall, is_paused: bool) -> None:
+        """Stops or resumes the reading of a streamed answer."""
+        kept.is_paused = is_paused
+
     def refresh_target(self) -> None:
         """Applies the current slots and state of the target."""
         now = self.reactor.seconds()
@@ -213,7 +233,7 @@
                 lambda reason, is_sent: self._receive_failure(
                     kept, reason, is_sent
                 ),
-                kept.is_backlogged,
+                lambda: kept.is_paused or kept.is_backlogged(),
             ),
         )
 
--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -86,6 +86,11 @@
         self._connector: Any = None
         self._probe_timer: Any = None
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection currently accepts no more bytes."""
+        return self._output is not None and self._output.is_full
+
     def connect(self) -> None:
         """Dials the peer; messages are queued until the link is open."""
         assert self.address is not None
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -97,6 +97,11 @@
         self.uplink.withdraw(remote.link, remote.stream)
         remote.link.send(frames.Cancel(remote.stream))
 
+    def pause(self, remote: RemoteCall, is_paused: bool) -> None:
+        """Stops or resumes the reading of a streamed answer at its target."""
+        if remote.stream in self._calls:
+            remote.link.send(frames.Pause(remote.stream, is_paused))
+
     def find_link(self, address: model.Address, lane: str) -> peerlink.PeerLink:
         """Returns the link to a peer, and dials one if there is none."""
         link = self.links.get((address, lane))
--- a/libs/sidecar/src/filbertlift_sidecar/uplink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/uplink.py
@@ -109,6 +109,11 @@
         ahead_s = max(0.0, self._free_at - self.reactor.seconds())
         return ahead_s + self._queued_bytes / self.bytes_per_s
 
+    @property
+    def queued_bytes(self) -> int:
+        """Number of bytes that are queued."""
+        return self._queued_bytes
+
     @property
     def is_busy(self) -> bool:
         """Whether any data is queued."""
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -28,9 +28,9 @@
         self.data = []
         self.is_backlogged = False
 
-    def send(self, request_id="r-1", needs_fresh=False):
+    def send(self, request_id="r-1", needs_fresh=False, is_head=False):
         request = answers.TargetRequest(
-            request_id, b"GET / HTTP/1.1\r\n\r\n", False, needs_fresh
+            request_id, b"GET / HTTP/1.1\r\n\r\n", is_head, needs_fresh
         )
         events = exchange.ExchangeEvents(
             self.answers.append,
@@ -115,6 +115,20 @@
     assert [a.body for a in bench.answers] == [b"new"]
 
 
+def test_an_answer_to_another_request_without_end_is_given_up(bench):
+    """Guards against a target that is read until the deadline of the call."""
+    connection = bench.send("r-2")
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n")
+    part = b"x" * 1024 * 1024
+    for _ in range(exchange.MAX_SKIPPED_BYTES // len(part)):
+        connection.dataReceived(part)
+    assert bench.failures == []
+    connection.dataReceived(part)
+    assert bench.answers == []
+    assert [is_sent for _reason, is_sent in bench.failures] == [True]
+    assert connection.transport.disconnected
+
+
 def test_a_second_answer_closes_the_connection(bench):
     connection = bench.send()
     connection.dataReceived(make_answer() + make_answer(body=b"again"))
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -32,6 +32,8 @@
     def __init__(self):
         self.sent = []
         self.on_gone = None
+        self.on_drained = None
+        self.is_full = False
         self.is_aborted = False
         self.closes = False
 
@@ -62,6 +64,7 @@
     def __init__(self):
         self.calls = []
         self.cancelled = []
+        self.pauses = []
 
     def submit(self, address, lane, call, on_answer, on_chunk):
         del lane
@@ -71,6 +74,9 @@
     def cancel(self, number):
         self.cancelled.append(number)
 
+    def pause(self, number, is_paused):
+        self.pauses.append((number, is_paused))
+
     def answer(self, number, end, reason="ok", **fields):
         self.calls[number][2](frames.Answer(0, end, reason, **fields))
 
@@ -265,6 +271,27 @@
     assert "finished" not in reply.sent
 
 
+def test_a_stream_waits_until_its_caller_has_taken_what_it_has(bench):
+    """Guards against an answer without end that fills the memory of its entry.
+
+    The caller reads more slowly than the target sends, or not at all.
+    """
+    reply = bench.call()
+    bench.remote.answer(0, AttemptEnd.ANSWERED, status=200, more=True)
+    on_chunk = bench.remote.calls[0][3]
+    on_chunk(frames.Chunk(0, b"x", False, False))
+    assert bench.remote.pauses == []
+    for _ in range(2):
+        bench.remote.pauses.clear()
+        reply.is_full = True
+        on_chunk(frames.Chunk(0, b"x", False, False))
+        on_chunk(frames.Chunk(0, b"x", False, False))
+        assert bench.remote.pauses == [(0, True)]
+        reply.is_full = False
+        reply.on_drained()
+        assert bench.remote.pauses == [(0, True), (0, False)]
+
+
 def test_a_call_without_a_route_is_answered_with_404(bench):
     assert bench.call("/y/").sent[0][0] == 404
     assert bench.call(host="other.example").sent[0][0] == 404
--- a/libs/sidecar/tests/test_frames.py
+++ b/libs/sidecar/tests/test_frames.py
@@ -22,6 +22,7 @@
     frames.ConfigurationRequest(-1),
     frames.ConfigurationReply(7, b"x"),
     frames.Fragment(1, b"x", 4),
+    frames.Pause(1, True),
 )
 ODD_VALUES = strategies.one_of(
     strategies.none(),
--- a/libs/sidecar/tests/test_keeper.py
+++ b/libs/sidecar/tests/test_keeper.py
@@ -120,6 +120,17 @@
     assert len(bench.pool.sent) == 2
 
 
+def test_a_target_is_not_read_while_the_caller_of_its_stream_waits(bench):
+    """Guards against an answer without end to a caller on the same host."""
+    kept = bench.submit(1)
+    events = bench.pool.sent[0][1]
+    assert not events.is_backlogged()
+    bench.keeper.pause(kept, True)
+    assert events.is_backlogged()
+    bench.keeper.pause(kept, False)
+    assert not events.is_backlogged()
+
+
 def test_a_waiting_call_that_is_withdrawn_never_runs(bench):
     bench.submit(1)
     waiting = bench.submit(2, is_idempotent=False)
