Check the id of an answer that ends with its connection

Cause: `connectionLost` took any answer without a length for that to the outstanding request. The id was only checked where an answer ends by its length or last chunk.

Change: one property of the answer's state says whether the end of the connection completes the answer that is due.

Evidence: 16 of 64 cases of the new test fail before.

--- a/libs/sidecar/src/filbertlift_sidecar/answers.py
+++ b/libs/sidecar/src/filbertlift_sidecar/answers.py
@@ -150,6 +150,13 @@
         )
         return headers_by_name
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the end of the connection completes the due answer."""
+        return (
+            self.has_head and self.is_close_delimited and not self.is_mismatched
+        )
+
     def is_refusal(self, dialect: TargetDialect) -> bool:
         """Returns whether the target says that it did not run the request."""
         return _is_refusal(self.status, self.headers, dialect)
--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -192,7 +192,7 @@
         if self._is_closed:
             return
         is_clean = reason.check(twisted_errors.ConnectionDone) is not None
-        if is_clean and self._state.has_head and self._state.is_close_delimited:
+        if is_clean and self._state.ends_with_connection:
             self._keeps_alive = False
             self._complete()
             self._finish()
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -175,6 +175,94 @@
     assert [is_sent for _reason, is_sent in bench.failures] == [True]
 
 
+def make_head(length_line, status=200, request_id="r-1"):
+    return b"HTTP/1.1 %d Some\r\nX-Id: %b\r\nX-Mark: m\r\n%b\r\n" % (
+        status,
+        request_id.encode(),
+        length_line,
+    )
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+FRAMINGS = {
+    "length": (b"Content-Length: 5\r\n", b"hello"),
+    "chunks": (CHUNKED, b"5\r\nhello\r\n0\r\n\r\n"),
+    "no length": (b"", b"hello"),
+    "empty": (b"Content-Length: 0\r\n", b""),
+}
+ENDS = [twisted_errors.ConnectionDone, twisted_errors.ConnectionLost]
+BEFORE = {
+    "nothing": b"",
+    "interim answer": b"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\n",
+    "answer of another": make_answer("r-0", b"other"),
+    "refusal of another": (
+        b"HTTP/1.1 503 Full\r\nX-Id: r-0\r\nX-Not-Run: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("before", BEFORE.values(), ids=BEFORE)
+@pytest.mark.parametrize(
+    ("length_line", "body"), FRAMINGS.values(), ids=FRAMINGS
+)
+def test_an_answer_cut_at_any_byte_is_not_reported(
+    length_line, body, before, end
+):
+    """Guards against a cut head or body that looks like a whole answer.
+
+    Only a body without a length may end with its connection, in order.
+    """
+    head = make_head(length_line)
+    whole = head + body
+    for size in range(len(whole)):
+        bench = Bench()
+        connection = bench.send()
+        connection.dataReceived(before + whole[:size])
+        lose(connection, end)
+        is_body = size >= len(head)
+        if not length_line and is_body and end is ENDS[0]:
+            expected = [whole[len(head) : size]]
+        else:
+            expected = []
+        assert [answer.body for answer in bench.answers] == expected
+        failed = [] if expected else [True]
+        assert [is_sent for _reason, is_sent in bench.failures] == failed
+
+
+OTHER_IDS = {"earlier id": "X-Id: r-0\r\n", "no id": ""}
+STATUS_LINES = {
+    "answer": "200 OK\r\nX-Mark: m\r\n",
+    "refusal": "503 Full\r\nX-Not-Run: 1\r\n",
+    "misdirected": "421 Elsewhere\r\n",
+    "failure": "500 Error\r\nX-Mark: m\r\n",
+}
+
+
+@pytest.mark.parametrize("is_head", [False, True], ids=["GET", "HEAD"])
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("body", [b"", b"late"])
+@pytest.mark.parametrize("id_line", OTHER_IDS.values(), ids=OTHER_IDS)
+@pytest.mark.parametrize("start", STATUS_LINES.values(), ids=STATUS_LINES)
+def test_a_late_answer_that_ends_with_its_connection_is_not_taken(
+    bench, start, id_line, body, end, is_head
+):
+    """Guards against the answer to another request, or "not run" for one.
+
+    An answer or refusal is written once more, without a length, in the place
+    of the answer that is due. The target has run the request or runs it.
+    """
+    connection = bench.send("r-0")
+    connection.dataReceived(make_answer("r-0"))
+    del bench.answers[:]
+    assert bench.send("r-1", is_head=is_head) is connection
+    connection.dataReceived(f"HTTP/1.1 {start}{id_line}\r\n".encode() + body)
+    lose(connection, end)
+    assert bench.answers == []
+    assert [is_sent for _reason, is_sent in bench.failures] == [True]
+
+
 def test_a_call_on_a_refused_connection_was_not_sent(bench):
     bench.pool.send(
         answers.TargetRequest("r-1", b"x", False, False),
