Soak: late heartbeats after a departure, and weights of other sums

Change: the steps `target_return` (crash, return under the same id, and a departure before the late heartbeats) and `weights` (950 to 50, then 1 and 0, then even), drawn with the further steps so that listed seeds keep theirs; the oracle reports a call at a service without weight.

--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -25,6 +25,13 @@
 # Share of the hosts that `kill_many` kills.
 KILL_MANY_SHARE: Final = 0.5
 
+# Time for which a target that returns is down, in seconds.
+RETURN_DELAY_S: Final = 0.3
+# Time from the return of a target to its departure, in seconds.
+RETURNED_S: Final = 0.6
+# Time for which a service has no weight, in seconds.
+UNWEIGHTED_S: Final = 6.0
+
 StepFunction = Callable[[deployment.Host, steps.Step], Any]
 
 
@@ -36,6 +43,8 @@
         publish: publishes the next version of the configuration.
         problems: broken guarantees that the steps themselves found.
         rng: selects the odd entries.
+        publish_weights: publishes a version with other weights of the split
+            route.
     """
 
     reactor: Any
@@ -45,6 +54,7 @@
     publish: Callable[[], None]
     problems: list[str] = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=lambda: random.Random(0))
+    publish_weights: Callable[[tuple[float, ...]], None] = lambda _weights: None
 
     def start_step(self, step: steps.Step) -> None:
         """Starts a step."""
@@ -285,12 +295,39 @@
         host.target.crash()
         self._call_later(step.seconds, host.target.start)
 
+    def _target_return(self, host: deployment.Host, step: steps.Step) -> None:
+        """A target crashes, returns under its id and leaves.
+
+        Its heartbeats since the return arrive after its departure.
+        """
+        if not host.target.is_ready:
+            return
+        self._record_disturbance(host.name, 0.0)
+        host.target.crash()
+        self._call_later(RETURN_DELAY_S, host.target.start_again)
+        leaving_s = RETURN_DELAY_S + RETURNED_S
+        self._call_later(leaving_s, host.target.drain, False)
+        self._call_later(
+            leaving_s + step.seconds / 2, host.target.deliver_heartbeats
+        )
+
     # The operator.
 
     def _publish(self, host: deployment.Host, step: steps.Step) -> None:
         del host, step
         self.publish()
 
+    def _weights(self, host: deployment.Host, step: steps.Step) -> None:
+        """Weights with a great sum, then 1 and 0, then even ones again."""
+        del host
+        is_first = step.word == "first"
+        self.publish_weights((950.0, 50.0) if is_first else (50.0, 950.0))
+        weights = (1.0, 0.0) if is_first else (0.0, 1.0)
+        self._call_later(step.seconds, self.publish_weights, weights)
+        self._call_later(
+            step.seconds + UNWEIGHTED_S, self.publish_weights, (1.0, 1.0)
+        )
+
     def _storm(self, host: deployment.Host, step: steps.Step) -> None:
         del host
         for number in range(int(step.seconds / STORM_INTERVAL_S)):
--- a/soak/src/filbertlift_soak/oracle.py
+++ b/soak/src/filbertlift_soak/oracle.py
@@ -44,6 +44,7 @@
         repeat_slack: further repeats allowed in each window.
         repeat_window_s: length of the window.
         services: services of each route, by the first part of its path.
+        split_route: the route whose weights change.
     """
 
     startup_s: float
@@ -55,6 +56,7 @@
     repeat_slack: float
     repeat_window_s: float
     services: Mapping[str, frozenset[str]]
+    split_route: str = ""
 
 
 Check = Callable[[records.Journal, Guarantees], Iterator[str]]
@@ -76,6 +78,7 @@
         check_exits,
         check_versions,
         check_version_order,
+        check_weights,
     )
     return [line for check in checks for line in check(journal, guarantees)]
 
@@ -295,6 +298,31 @@
                 break
 
 
+def check_weights(
+    journal: records.Journal, guarantees: Guarantees
+) -> Iterator[str]:
+    """Checks that a service without weight gets no calls."""
+    publications = journal.publications
+    ends = [*(item.sent_at for item in publications[1:]), float("inf")]
+    for run in journal.runs:
+        call = journal.calls.get(run.request_id)
+        if call is None or run.path.split("/")[1] != guarantees.split_route:
+            continue
+        since = call.sent_at - guarantees.recovery_s
+        if not journal.is_undisturbed(call.host, since, run.at):
+            continue
+        # Versions between the last one that is certainly in force and the
+        # sending of the call may all be in force.
+        allowed = {
+            item.unweighted
+            for item, end in zip(publications, ends, strict=False)
+            if item.sent_at <= call.sent_at
+            and end > call.sent_at - guarantees.config_s
+        }
+        if allowed == {run.service}:
+            yield f"weights: {run.request_id} ran at {run.service}"
+
+
 def _list_marker_calls(journal: records.Journal) -> list[records.CallRecord]:
     return [
         call
--- a/soak/src/filbertlift_soak/records.py
+++ b/soak/src/filbertlift_soak/records.py
@@ -106,11 +106,14 @@
         sent_at: when it was written to the store.
         removed_at: when the first version without its marker route was
             written; None if there is none yet.
+        unweighted: service that has no weight on the split route; empty if
+            all have.
     """
 
     version: int
     sent_at: float
     removed_at: float | None = None
+    unweighted: str = ""
 
 
 @attrs.frozen
--- a/soak/src/filbertlift_soak/steps.py
+++ b/soak/src/filbertlift_soak/steps.py
@@ -31,11 +31,15 @@
     "storm": 2,
 }
 # The same for further steps, which are drawn after the others so that a seed
-# keeps those: another writer of the store, and targets that repeat a refusal.
+# keeps those: another writer of the store, targets that repeat a refusal, ones
+# that return under their id and leave before their late heartbeats, and weights
+# with other sums.
 ODD_WEIGHTS: Final = {
     "odd_entries": 3,
     "odd_version": 2,
     "target_repeat": 4,
+    "target_return": 3,
+    "weights": 3,
 }
 # Variants of the steps that have any.
 VARIANTS: Final = {
@@ -43,6 +47,7 @@
     "store_outage": ("busy", "reset", "silent"),
     "store_cut": ("part", "silence"),
     "links_silent": ("both", "in", "out"),
+    "weights": ("first", "last"),
     "target_fault": ("shed", "error", "lose", "garble", "extra", "mute"),
 }
 MIN_DURATION_S: Final = 0.5
--- a/soak/src/filbertlift_soak/target.py
+++ b/soak/src/filbertlift_soak/target.py
@@ -111,6 +111,8 @@
     call_inner: CallFunction
     record: directory.TargetRecord | None = None
     faults: Faults = attrs.field(factory=Faults)
+    # Heartbeats that are on their way; None if they arrive at once.
+    _held_beats: list[Callable[[], None]] | None = None
     _sequence: Any = None
     _server: web.Server | None = None
     _port: Any = None
@@ -119,17 +121,45 @@
     _waiting: deque[_Run] = attrs.field(factory=deque)
     # The last refusal on each open connection.
     _refusals: Any = attrs.field(factory=weakref.WeakKeyDictionary)
+    _last_id: str = ""
+    _is_leaving: bool = False
     _incarnations: Any = attrs.field(factory=itertools.count)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether an incarnation runs and has not begun to leave."""
+        record = self.record
+        return (
+            record is not None
+            and record.state is directory.TargetState.READY
+            and not self._is_leaving
+        )
+
     def start(self) -> None:
-        """Starts a new incarnation; raises CannotListenError."""
-        if self.record is not None:
-            return
+        """Starts a new incarnation with a new id; raises CannotListenError."""
+        if self.record is None:
+            number = next(self._incarnations)
+            self._start(f"{self.spec.host}-{number}")
+
+    def start_again(self) -> None:
+        """Starts an incarnation with the last id, whose heartbeats are late."""
+        if self.record is None:
+            self._held_beats = []
+            self._start(self._last_id)
+
+    def deliver_heartbeats(self) -> None:
+        """Lets the heartbeats that are on their way arrive."""
+        held, self._held_beats = self._held_beats, None
+        for report in held or []:
+            report()
+
+    def _start(self, target_id: str) -> None:
+        self._last_id = target_id
+        self._is_leaving = False
         self._server = web.Server(self._handle_request)
         self._port = web.listen(self.reactor, self.spec.address, self._server)
-        number = next(self._incarnations)
         self.record = directory.TargetRecord(
-            f"{self.spec.host}-{number}",
+            target_id,
             int(time.time() * 1000),
             self.spec.service,
             self.spec.slots,
@@ -162,6 +192,7 @@
         """
         if self.record is None:
             return
+        self._is_leaving = True
         if announce:
             self.record = attrs.evolve(
                 self.record, state=directory.TargetState.DRAINING
@@ -182,7 +213,14 @@
             record, self.spec.address, next(self._sequence)
         )
         is_drain = record.state is directory.TargetState.DRAINING
-        self._report(path, body, record, is_drain, self._send_heartbeat)
+
+        def report() -> None:
+            self._report(path, body, record, is_drain, self._send_heartbeat)
+
+        if self._held_beats is None:
+            report()
+        else:
+            self._held_beats.append(report)
 
     def _send_departure(self, record: directory.TargetRecord) -> None:
         self._report(
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -45,6 +45,7 @@
     repeat_ratio=0.2,
     repeat_slack=20.0,
     repeat_window_s=10.0,
+    split_route="both",
     services={
         "look": frozenset(("desk",)),
         "book": frozenset(("issue",)),
@@ -54,6 +55,8 @@
     },
 )
 Kind = configuration.CallKind
+# Weights of the split route, for its services in alphabetical order.
+EVEN_WEIGHTS: Final = (1.0, 1.0)
 TEMPLATES: Final = (
     callers.CallTemplate("look", Kind.SAFE, "w40/b300", 0, 2.0, 4.0),
     callers.CallTemplate("look", Kind.SAFE, "w20/b300/inner", 0, 2.0, 2.0),
@@ -107,6 +110,7 @@
     _stall_check: Any = None
     _checked_at: float = 0.0
     _markers_sent: int = 0
+    _weights: tuple[float, ...] = EVEN_WEIGHTS
 
     def __attrs_post_init__(self) -> None:
         """Builds the parts; nothing is started."""
@@ -163,6 +167,7 @@
             self.publish,
             self.problems,
             random.Random(f"writer/{self.seed}"),
+            self.publish_weights,
         )
         await self._start()
         start = self.reactor.seconds()
@@ -209,19 +214,32 @@
             host.process.on_exit = None
             host.kill()
 
+    def publish_weights(self, weights: tuple[float, ...]) -> None:
+        """Publishes a version with other weights of the split route."""
+        self._weights = weights
+        self.publish()
+
     def publish(self) -> None:
         """Publishes the next version, with a marker route of its own."""
         now = self.reactor.seconds()
         version = next(self._publication_numbers) * VERSION_STEP
         publications = self.journal.publications
-        publications.append(records.Publication(version, now))
+        services = sorted(GUARANTEES.services[GUARANTEES.split_route])
+        unweighted = [
+            service
+            for service, weight in zip(services, self._weights, strict=True)
+            if not weight
+        ]
+        publications.append(
+            records.Publication(version, now, None, "".join(unweighted))
+        )
         for old in publications[:-MARKER_ROUTES]:
             if old.removed_at is None:
                 old.removed_at = now
         value = documents.encode_configuration(
             version,
             [
-                *_make_routes(),
+                *_make_routes(self._weights),
                 *map(_make_marker_route, publications[-MARKER_ROUTES:]),
             ],
             SERVICES,
@@ -262,7 +280,7 @@
     async def _check_recovery(self) -> None:
         await self._sleep(SETTLING_TIME_S)
         start = self.reactor.seconds()
-        self.publish()
+        self.publish_weights(EVEN_WEIGHTS)
         await self._sleep(RECOVERY_CHECK_S)
         self._stop_calls()
         # The checks need the end of every call.
@@ -307,20 +325,30 @@
         await task.deferLater(self.reactor, max(0.0, seconds), lambda: None)
 
 
-def _make_routes() -> list[configuration.Route]:
+def _make_routes(
+    split_weights: tuple[float, ...],
+) -> list[configuration.Route]:
     kinds = {template.route: template.kind for template in (*TEMPLATES, CHECK)}
     return [
-        _make_route(name, kinds[name], sorted(services))
+        _make_route(
+            name,
+            kinds[name],
+            sorted(services),
+            split_weights if name == GUARANTEES.split_route else (1.0,),
+        )
         for name, services in GUARANTEES.services.items()
     ]
 
 
 def _make_marker_route(item: records.Publication) -> configuration.Route:
-    return _make_route(f"v{item.version}", Kind.SAFE, ["desk"])
+    return _make_route(f"v{item.version}", Kind.SAFE, ["desk"], (1.0,))
 
 
 def _make_route(
-    name: str, kind: configuration.CallKind, services: list[str]
+    name: str,
+    kind: configuration.CallKind,
+    services: list[str],
+    weights: tuple[float, ...],
 ) -> configuration.Route:
     return configuration.Route(
         name,
@@ -331,7 +359,7 @@
         0.5,
         2,
         0 if name == "check" else 1,
-        tuple(configuration.Share(service, 1.0) for service in services),
+        tuple(map(configuration.Share, services, weights)),
     )
 
 
--- a/soak/tests/test_oracle.py
+++ b/soak/tests/test_oracle.py
@@ -18,6 +18,7 @@
     repeat_slack=2.0,
     repeat_window_s=10.0,
     services={"look": frozenset(("desk",))},
+    split_route="look",
 )
 BODY = records.make_body("c1", 20)
 
@@ -98,6 +99,30 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("published", "is_reported"),
+    [
+        ([(1.0, "desk")], True),
+        ([(1.0, "")], False),
+        ([(1.0, "archive")], False),
+        ([(1.0, ""), (8.0, "desk")], False),
+        ([(1.0, ""), (7.0, "desk")], True),
+        ([(1.0, "desk"), (9.9, "")], False),
+        ([(1.0, "desk"), (10.1, "")], True),
+    ],
+)
+def test_a_call_at_a_service_without_weight_is_reported(published, is_reported):
+    problems = find_problems(
+        [make_call()],
+        [make_run()],
+        publications=[
+            records.Publication(number, sent_at, None, unweighted)
+            for number, (sent_at, unweighted) in enumerate(published)
+        ],
+    )
+    assert bool(problems) == is_reported
+
+
 def test_too_many_repeats_are_reported():
     calls = [make_call(f"c{n}", kind=Kind.SAFE, status=0) for n in range(9)]
     runs = [make_run(call.request_id, status=0) for call in calls]
