Answer the calls that the drain limit of a node cuts off

Callers of the product's own node lost their connections without an answer when a stop reached its drain limit: the same class as the calls that the node on the users' platform cut off.

Cause: the limit closed the connections while calls were in progress.

Change: each call ends as at its deadline.

--- a/libs/node/src/filbertlift_node/flow.py
+++ b/libs/node/src/filbertlift_node/flow.py
@@ -461,6 +461,17 @@
 
     # Ends of the call.
 
+    def expire(self) -> None:
+        """Ends the call now, as at its deadline.
+
+        Its caller hears within `CANCEL_GRACE_S` what became of it, unless it
+        has the head of a streamed answer.
+        """
+        if self._is_over or self.is_streaming:
+            return
+        self._stop_timers()
+        self._handle_deadline()
+
     def _handle_deadline(self) -> None:
         if self._is_over or self.is_streaming:
             return
--- a/libs/node/src/filbertlift_node/node.py
+++ b/libs/node/src/filbertlift_node/node.py
@@ -449,6 +449,8 @@
         self.exit_status = drain.log_cut_calls(
             self.relay.list_runs(), self.entry.flows
         )
+        for call in list(self.entry.flows):
+            call.expire()
         self._lifecycle.finish()
         self._reactor.callLater(FINAL_GOSSIP_S, self._close)
 
--- a/libs/node/tests/test_flow.py
+++ b/libs/node/tests/test_flow.py
@@ -72,6 +72,35 @@
     assert reply.outcome == "done"
 
 
+@pytest.mark.parametrize(
+    ("ran", "expected"),
+    [
+        (None, (504, "unknown")),
+        (True, (504, "unknown")),
+        (False, (503, "not-run")),
+    ],
+)
+def test_a_call_that_is_cut_by_a_stop_is_answered(ran, expected) -> None:
+    """Guards against a stop that closes connections without an answer.
+
+    The call lasts longer than the drain limit, and its keeper confirms the
+    withdrawal, or does not answer.
+    """
+    fixture, link = make_linked_entry()
+    reply = fixture.call()
+    call = link.pop_sent(messages.Call)
+    for open_call in list(fixture.entry.flows):
+        open_call.expire()
+    cancel = link.pop_sent(messages.Cancel)
+    if ran is not None:
+        fixture.receive(
+            link, messages.Cancelled(cancel.stream, call.call_id, ran)
+        )
+    fixture.clock.advance(flow.CANCEL_GRACE_S)
+    assert (reply.status, reply.outcome) == expected
+    assert not fixture.entry.flows
+
+
 def test_deadline_during_settlement_is_unknown() -> None:
     """Guards against "not run" for a call whose keeper can't be reached.
 
