Log how late a node learns of a stop and what its end cuts off

Cause: with the log of a planned stop the hypotheses of the lost calls look alike: neither the delay of a signal, nor a late event loop, nor the state of the connections at the end was written. Change: node.leaving has late_s, node.stop late_s and the open connections by state, loop.late marks a timer over 0.2 s late.

--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -43,6 +43,9 @@
 from filbertlift_transport import server
 
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
+# Delay of a timer that is logged, in seconds. A caller whose request has been
+# unread for that long sees a closed connection as a lost request.
+MIN_LOGGED_DELAY_S: Final = 0.2
 # The platform and the target send no large requests.
 SMALL_LIMITS: Final = http.Limits(body_bytes=65_536, connections=100)
 # Limits the open connections of callers, since each takes a file descriptor.
@@ -98,8 +101,10 @@
         self._log = log
         self._meters = meters
         self._is_stopping = False
+        self._planned_stop: shutdown.PlannedStop | None = None
         self._placed_changes = -1
         self._refreshed_at = float("-inf")
+        self._housekeeping_at = 0.0
         self._target = announcements.LocalTarget(
             str(settings.target), settings.beat_interval_s
         )
@@ -203,15 +208,24 @@
         self._gossip.start()
         self._registry.start()
         self._versions.start()
+        self._housekeeping_at = self._reactor.seconds() + (
+            HOUSEKEEPING_INTERVAL_S
+        )
         self._loop.start(HOUSEKEEPING_INTERVAL_S, now=False)
 
-    def stop(self) -> None:
-        """Leaves: sends callers and peers elsewhere and finishes its work."""
+    def stop(self, signalled_at: float | None = None) -> None:
+        """Leaves: sends callers and peers elsewhere and finishes its work.
+
+        Args:
+            signalled_at: when the signal to stop was received, in seconds.
+        """
         if self._is_stopping:
             return
         self._is_stopping = True
+        now = self._reactor.seconds()
         self._log.log(
             "node.leaving",
+            late_s=0.0 if signalled_at is None else now - signalled_at,
             calls=len(self.entry.flows),
             kept=self._keeper.in_flight,
         )
@@ -227,6 +241,7 @@
             ),
             self.settings.grace_s,
         )
+        self._planned_stop = stop
         stop.start()
         self.entry.leave(stop.get_last_answer_at())
         self._update_own()
@@ -351,9 +366,14 @@
             self._note_target()
 
     def _run_housekeeping(self) -> None:
+        now = self._reactor.seconds()
+        late_s = now - self._housekeeping_at
+        self._housekeeping_at = now + HOUSEKEEPING_INTERVAL_S
+        if late_s >= MIN_LOGGED_DELAY_S:
+            self._log.log("loop.late", late_s=late_s)
         self._pool.drop_idle()
         self._remote.close_idle()
-        live = self._table.list_live(self._reactor.seconds())
+        live = self._table.list_live(now)
         self._meters.hosts.set(len(live) + 1)
 
     # HTTP endpoints.
@@ -399,10 +419,19 @@
             part.stop_accepting()
 
     def _close(self) -> None:
+        counts = server.ConnectionCounts(0, 0, 0, 0)
+        if self._caller_server is not None:
+            counts = self._caller_server.count_connections()
+        stop = self._planned_stop
         self._log.log(
             "node.stop",
             cut_calls=len(self.entry.flows) + len(self.entry.held),
             cut_runs=self._keeper.in_flight,
+            late_s=0.0 if stop is None else stop.max_late_s,
+            connections=counts.total,
+            receiving=counts.receiving,
+            answering=counts.answering,
+            unsent=counts.unsent,
         )
         self._loop.stop()
         self._versions.close()
--- a/libs/sidecar/src/filbertlift_sidecar/shutdown.py
+++ b/libs/sidecar/src/filbertlift_sidecar/shutdown.py
@@ -59,12 +59,15 @@
 
     Attributes:
         grace_s: time from SIGTERM until the process is killed, in seconds.
+        max_late_s: longest delay of a step behind its time, in seconds.
     """
 
     reactor: Any
     actions: StopActions
     grace_s: float
+    max_late_s: float = 0.0
     _started_at: float = 0.0
+    _check_at: float = 0.0
 
     def start(self) -> None:
         """Begins the stop."""
@@ -73,6 +76,7 @@
         # With a short grace period there is no time for the whole notice.
         serving_s = self.get_last_answer_at() - self._started_at
         notice_s = min(LEAVE_NOTICE_S, serving_s / 2)
+        self._check_at = self._started_at + notice_s
         self.reactor.callLater(notice_s, self._end_notice)
 
     def get_last_answer_at(self) -> float:
@@ -84,6 +88,8 @@
         self._check()
 
     def _check(self) -> None:
+        late_s = self.reactor.seconds() - self._check_at
+        self.max_late_s = max(self.max_late_s, late_s)
         if self.actions.is_idle() and self.actions.is_sent():
             # The last answers may still be in the kernel's send buffer.
             self.actions.stop_accepting()
@@ -93,4 +99,5 @@
         if self.reactor.seconds() >= close_at:
             self.actions.close()
             return
+        self._check_at = self.reactor.seconds() + CHECK_INTERVAL_S
         self.reactor.callLater(CHECK_INTERVAL_S, self._check)
--- a/libs/sidecar/tests/test_shutdown.py
+++ b/libs/sidecar/tests/test_shutdown.py
@@ -15,7 +15,7 @@
     def __init__(self, grace_s=GRACE_S, idle_at=0.0, sent_at=0.0):
         self.clock = task.Clock()
         self.times = {}
-        actions = shutdown.StopActions(
+        self.actions = shutdown.StopActions(
             lambda: self.note("refuse_peers"),
             lambda: self.note("refuse_callers"),
             lambda: self.clock.seconds() >= idle_at,
@@ -23,7 +23,7 @@
             lambda: self.note("stop_accepting"),
             lambda: self.note("close"),
         )
-        self.stop = shutdown.PlannedStop(self.clock, actions, grace_s)
+        self.stop = shutdown.PlannedStop(self.clock, self.actions, grace_s)
         self.stop.start()
         self.clock.pump([STEP_S] * round(2 * grace_s / STEP_S))
 
@@ -71,3 +71,14 @@
     assert times["close"] == pytest.approx(
         GRACE_S - shutdown.CLOSE_MARGIN_S, abs=0.1
     )
+
+
+def test_late_steps_of_a_stop_are_measured():
+    """Guards against a late event loop that no log line shows."""
+    bench = Bench()
+    assert bench.stop.max_late_s < 2 * STEP_S
+    bench.times.clear()
+    stop = shutdown.PlannedStop(bench.clock, bench.actions, GRACE_S)
+    stop.start()
+    bench.clock.advance(shutdown.LEAVE_NOTICE_S + 0.7)
+    assert stop.max_late_s == pytest.approx(0.7)
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 from twisted.internet import protocol
 from twisted.python import failure
 
@@ -26,6 +27,23 @@
 _JSON = (http.Header("Content-Type", "application/json"),)
 
 
+@attrs.frozen
+class ConnectionCounts:
+    """Numbers of open connections by their state.
+
+    Attributes:
+        total: all open connections.
+        receiving: those with a request that has not arrived as a whole.
+        answering: those with a request that is not answered yet.
+        unsent: those with bytes that the socket has not accepted.
+    """
+
+    total: int
+    receiving: int
+    answering: int
+    unsent: int
+
+
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; answers requests in order."""
 
@@ -150,6 +168,16 @@
         elif now - self._full_since >= self._server.limits.idle_s:
             self.transport.abortConnection()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has arrived in part."""
+        return not self._is_idle
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is not answered yet."""
+        return self._reply is not None or bool(self._pending)
+
     @property
     def _is_idle(self) -> bool:
         return self._phase == (False, False)
@@ -283,6 +311,16 @@
             connection.output.is_full for connection in self._connections
         )
 
+    def count_connections(self) -> ConnectionCounts:
+        """Returns the numbers of connections by their state."""
+        connections = self._connections
+        return ConnectionCounts(
+            len(connections),
+            sum(connection.is_receiving for connection in connections),
+            sum(connection.is_answering for connection in connections),
+            sum(connection.output.is_full for connection in connections),
+        )
+
     def stop_accepting(self) -> Any:
         """Stops listening and closes connections as they become idle.
 
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -400,3 +400,15 @@
     assert not fixture.server.has_unsent
     fixture.last.output.is_full = True
     assert fixture.server.has_unsent
+
+
+def test_connections_are_counted_by_their_state() -> None:
+    """Guards against a stop whose log does not tell what it cut off."""
+    fixture = ServerFixture()
+    partial, _ = fixture.connect()
+    partial(GET[:10])
+    whole, _ = fixture.connect()
+    whole(GET)
+    assert fixture.server.count_connections() == server.ConnectionCounts(
+        2, 1, 1, 0
+    )
