Soak: planned stops in series, and answers in place of busy targets

Cause: no step stopped hosts one after another beside reloads and versions or behind narrow links, and no check saw a stopping node that answers a call itself while its target is at work. Change: the step roll, drawn last so that listed seeds keep their steps, and the check of work in stops.

--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -25,6 +25,14 @@
 # Share of the hosts that `kill_many` kills.
 KILL_MANY_SHARE: Final = 0.5
 
+# Share of the hosts that `roll` stops, and the time between two of these stops,
+# in seconds; a stop takes longer, so that they overlap.
+ROLL_SHARE: Final = 0.4
+ROLL_GAP_S: Final = 0.7
+# Rate, in bits per second, and delay, in seconds, of narrow links.
+NARROW_BPS: Final = 7e6
+NARROW_DELAY_S: Final = 0.02
+
 # Time for which a target that returns is down, in seconds.
 RETURN_DELAY_S: Final = 0.3
 # Time from the return of a target to its departure, in seconds.
@@ -66,7 +74,8 @@
         """Ends every fault, resumes paused nodes and starts targets again."""
         self.store.faults = stores.Faults()
         for host in self.hosts:
-            host.peers.set_faults(part=False, delay_out_s=0.0, delay_in_s=0.0)
+            host.peers.set_faults(part=False)
+            self._set_link(host, 0.0, 0.0)
             host.store.set_faults(part=False)
             host.target.faults.word = ""
             host.target.faults.slowdown = 1.0
@@ -150,6 +159,40 @@
         host.write_settings(deployment.GRACE_S + step.seconds)
         host.process.send_signal(signal.SIGHUP)
 
+    def _roll(self, host: deployment.Host, step: steps.Step) -> None:
+        """Stops several hosts, one after another."""
+        first = self.hosts.index(host)
+        count = int(ROLL_SHARE * len(self.hosts))
+        if step.word == "narrow":
+            self._narrow_links(count * ROLL_GAP_S + deployment.GRACE_S)
+        for number in range(count):
+            chosen = self.hosts[(first + number) % len(self.hosts)]
+            delay_s = number * ROLL_GAP_S
+            if step.word == "reload":
+                self._call_later(delay_s, self._reload_beside_version, chosen)
+            self._call_later(delay_s, self._stop, chosen, step)
+
+    def _reload_beside_version(self, host: deployment.Host) -> None:
+        self.publish()
+        if host.process.running:
+            host.process.send_signal(signal.SIGHUP)
+
+    def _narrow_links(self, seconds: float) -> None:
+        """Limits the links of all hosts; this disturbs none of them."""
+        for host in self.hosts:
+            self._set_link(host, NARROW_DELAY_S, NARROW_BPS)
+            self._call_later(seconds, self._set_link, host, 0.0, 0.0)
+
+    def _set_link(
+        self, host: deployment.Host, delay_s: float, rate_bps: float
+    ) -> None:
+        host.peers.set_faults(
+            delay_out_s=delay_s,
+            delay_in_s=delay_s,
+            rate_out_bps=rate_bps,
+            rate_in_bps=rate_bps,
+        )
+
     def _can_take_down(self, host: deployment.Host) -> bool:
         if host.is_down or not host.process.running or host.process.paused:
             return False
--- a/soak/src/filbertlift_soak/main.py
+++ b/soak/src/filbertlift_soak/main.py
@@ -23,6 +23,7 @@
         4, help="Further steps: odd entries and repeated refusals."
     ),
     hosts: int = typer.Option(9, help="Hosts, each with its own node."),
+    rolls: int = typer.Option(1, help="Stops of several hosts in series."),
 ) -> None:
     """Injects faults under load and checks the guarantees.
 
@@ -36,7 +37,7 @@
             folder = pathlib.Path(tempfile.mkdtemp(prefix="filbertlift-soak-"))
             print(f"seed={number} steps={steps} logs={folder}", flush=True)
             problems = await world.run_world(
-                reactor, folder, number, steps, odd_steps, hosts
+                reactor, folder, number, steps, odd_steps, hosts, rolls
             )
             for problem in problems:
                 print(f"problem: {problem}", flush=True)
--- a/soak/src/filbertlift_soak/oracle.py
+++ b/soak/src/filbertlift_soak/oracle.py
@@ -23,6 +23,13 @@
 # If a connection ends within this time after a call was sent on it, in seconds,
 # the node may have closed it before the call arrived.
 CLOSE_RACE_S = 0.2
+# In the rest of the grace period after this share a node may itself answer a
+# call whose target is at work, if it was sent within this time after SIGTERM,
+# in seconds.
+LAST_WORK_SHARE = 5 / 6
+EARLY_CALL_S = 3.0
+# An answer may come this much before the deadline of its call, in seconds.
+DEADLINE_MARGIN_S = 0.05
 # Two calls less than this apart, in seconds, may be handled under versions in
 # either order.
 ORDER_SLACK_S = 0.25
@@ -45,6 +52,7 @@
         repeat_window_s: length of the window.
         services: services of each route, by the first part of its path.
         split_route: the route whose weights change.
+        grace_s: time from SIGTERM until a node is killed.
     """
 
     startup_s: float
@@ -57,6 +65,7 @@
     repeat_window_s: float
     services: Mapping[str, frozenset[str]]
     split_route: str = ""
+    grace_s: float = 6.0
 
 
 Check = Callable[[records.Journal, Guarantees], Iterator[str]]
@@ -75,6 +84,7 @@
         check_departures,
         check_repeats,
         check_stops,
+        check_work_in_stops,
         check_exits,
         check_versions,
         check_version_order,
@@ -238,6 +248,47 @@
                 yield f"lost: {call.request_id} at the stop of {stop.host}"
 
 
+def check_work_in_stops(
+    journal: records.Journal, guarantees: Guarantees
+) -> Iterator[str]:
+    """Checks that a stopping node waits for a target that is at work.
+
+    At the end of its grace period it may answer early calls itself.
+    """
+    for stop in journal.stops:
+        last_at = stop.start + guarantees.grace_s * LAST_WORK_SHARE
+        for call in journal.calls.values():
+            if call.host != stop.host or not _is_failed_by_node(call):
+                continue
+            ended_at = call.ended_at or 0.0
+            if not stop.start <= ended_at <= stop.end + 1.0:
+                continue
+            wait_s = min(guarantees.timeout_s, call.timeout_s)
+            if ended_at - call.sent_at >= wait_s - DEADLINE_MARGIN_S:
+                continue
+            is_early = call.sent_at <= stop.start + EARLY_CALL_S
+            if is_early and ended_at >= last_at:
+                continue
+            is_busy = any(
+                run.at <= ended_at
+                and (run.ended_at is None or run.ended_at > ended_at)
+                for run in journal.iterate_runs(call.request_id)
+            )
+            if is_busy and journal.is_all_undisturbed(
+                call.sent_at - guarantees.recovery_s, ended_at
+            ):
+                yield (
+                    f"broken off: {call.request_id} got {call.status}"
+                    f" at the stop of {stop.host}"
+                )
+
+
+def _is_failed_by_node(call: records.CallRecord) -> bool:
+    """Returns whether a node itself told that a call may have run."""
+    is_failure = call.status >= 500 and call.status not in NOT_RUN_STATUSES
+    return is_failure and not call.signature
+
+
 def check_exits(
     journal: records.Journal, guarantees: Guarantees
 ) -> Iterator[str]:
--- a/soak/src/filbertlift_soak/records.py
+++ b/soak/src/filbertlift_soak/records.py
@@ -66,6 +66,7 @@
         at: when it arrived.
         has_run: False if the target refused it.
         status: status of the complete answer; 0 if there is none.
+        ended_at: when the target stopped working on it; None if it has not.
     """
 
     request_id: str
@@ -80,6 +81,7 @@
     at: float
     has_run: bool = True
     status: int = 0
+    ended_at: float | None = None
 
 
 @attrs.frozen
--- a/soak/src/filbertlift_soak/steps.py
+++ b/soak/src/filbertlift_soak/steps.py
@@ -41,6 +41,9 @@
     "target_return": 3,
     "weights": 3,
 }
+# Stops of several hosts one after another, beside reloads or over narrow links;
+# drawn last for the same reason.
+ROLL: Final = "roll"
 # Variants of the steps that have any.
 VARIANTS: Final = {
     "kill": ("", "again"),
@@ -48,6 +51,7 @@
     "store_cut": ("part", "silence"),
     "links_silent": ("both", "in", "out"),
     "weights": ("first", "last"),
+    "roll": ("", "narrow", "reload"),
     "target_fault": ("shed", "error", "lose", "garble", "extra", "mute"),
 }
 MIN_DURATION_S: Final = 0.5
@@ -83,7 +87,11 @@
 
 
 def draw_steps(
-    rng: random.Random, count: int, odd_count: int, hosts: int
+    rng: random.Random,
+    count: int,
+    odd_count: int,
+    hosts: int,
+    roll_count: int = 0,
 ) -> list[Step]:
     """Returns the steps of a run; the same seed yields the same steps.
 
@@ -92,6 +100,7 @@
         count: number of steps, which follow one another.
         odd_count: number of further steps in `ODD_WEIGHTS`, at any time.
         hosts: number of hosts.
+        roll_count: number of stops in series, at any time.
     """
     steps: list[Step] = []
     at_s = 0.0
@@ -102,9 +111,10 @@
     names = rng.choices(
         list(ODD_WEIGHTS), list(ODD_WEIGHTS.values()), k=odd_count
     )
+    names += [ROLL] * roll_count
     for name in names:
-        odd_at_s = round(rng.uniform(0.0, at_s), 2)
-        steps.append(_draw_step(rng, name, odd_at_s, hosts))
+        any_at_s = round(rng.uniform(0.0, at_s), 2)
+        steps.append(_draw_step(rng, name, any_at_s, hosts))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/soak/src/filbertlift_soak/target.py
+++ b/soak/src/filbertlift_soak/target.py
@@ -404,6 +404,7 @@
         if run.is_over:
             return
         run.is_over = True
+        run.record.ended_at = self.reactor.seconds()
         run.exchange.on_lost = None
         if run.timer is not None and run.timer.active():
             run.timer.cancel()
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -45,6 +45,7 @@
     repeat_ratio=0.2,
     repeat_slack=20.0,
     repeat_window_s=10.0,
+    grace_s=deployment.GRACE_S,
     split_route="both",
     services={
         "look": frozenset(("desk",)),
@@ -370,12 +371,13 @@
     step_count: int,
     odd_count: int,
     host_count: int,
+    roll_count: int = 0,
 ) -> "defer.Deferred[list[str]]":
     """Runs one seed; the result has one line for each broken guarantee."""
 
     async def run() -> list[str]:
         plan = steps.draw_steps(
-            random.Random(seed), step_count, odd_count, host_count
+            random.Random(seed), step_count, odd_count, host_count, roll_count
         )
         world = World(reactor, folder, seed, host_count)
         try:
--- a/soak/tests/test_oracle.py
+++ b/soak/tests/test_oracle.py
@@ -143,6 +143,31 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("call", "ended_at", "is_reported"),
+    [
+        ({}, None, True),
+        ({}, 12.0, True),
+        ({}, 10.8, False),
+        ({"status": 503}, 10.9, False),
+        ({"ended_at": 11.5}, None, False),
+        ({"ended_at": 15.6, "sent_at": 14.9}, None, True),
+        ({"ended_at": 15.6, "timeout_s": 9.0}, None, False),
+    ],
+)
+def test_an_answer_of_a_stopping_node_in_place_of_a_busy_target_is_reported(
+    call, ended_at, is_reported
+):
+    fields = {"status": 504, "signature": "", "ended_at": 11.0, "answer": b""}
+    stops = [records.Interval("h1", 10.5, 16.0)]
+    run = make_run(status=0, ended_at=ended_at)
+    problems = find_problems(
+        [make_call(**{**fields, **call})], [run], stops=stops
+    )
+    broken = [line for line in problems if line.startswith("broken off")]
+    assert bool(broken) == is_reported
+
+
 def make_marker_call(number, version, status, sent_at, host="h1"):
     return make_call(
         f"c{number}",
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -12,6 +12,7 @@
 HOSTS = 6
 LIMIT_S = 180
 ODD_STEPS = 3
+ROLLS = 1
 # Seeds that failed before, each with the steps, odd steps and hosts of that
 # run; a comment gives the cause.
 REGRESSIONS: tuple[tuple[int, int, int, int], ...] = (
@@ -22,7 +23,7 @@
 )
 
 
-def run_soak(seed, steps, odd_steps, hosts):
+def run_soak(seed, steps, odd_steps, hosts, rolls):
     return subprocess.run(
         [
             sys.executable,
@@ -32,6 +33,7 @@
             f"--steps={steps}",
             f"--odd-steps={odd_steps}",
             f"--hosts={hosts}",
+            f"--rolls={rolls}",
         ],
         env={"PYTHONPATH": ":".join(sys.path), "PATH": "/usr/bin:/bin"},
         cwd=pathlib.Path(__file__).parent,
@@ -43,9 +45,12 @@
 
 
 @pytest.mark.parametrize(
-    ("seed", "steps", "odd_steps", "hosts"),
-    [(1, STEPS, ODD_STEPS, HOSTS), *REGRESSIONS],
+    ("seed", "steps", "odd_steps", "hosts", "rolls"),
+    [
+        (1, STEPS, ODD_STEPS, HOSTS, ROLLS),
+        *((*regression, 0) for regression in REGRESSIONS),
+    ],
 )
-def test_no_guarantee_is_broken(seed, steps, odd_steps, hosts):
-    done = run_soak(seed, steps, odd_steps, hosts)
+def test_no_guarantee_is_broken(seed, steps, odd_steps, hosts, rolls):
+    done = run_soak(seed, steps, odd_steps, hosts, rolls)
     assert done.returncode == 0, done.stdout[-4000:] + done.stderr[-2000:]
--- a/soak/tests/test_steps.py
+++ b/soak/tests/test_steps.py
@@ -18,11 +18,14 @@
     mixed = steps.draw_steps(random.Random(7), 40, 4, 9)
     rest = [step for step in mixed if step.name not in steps.ODD_WEIGHTS]
     assert (rest, len(mixed)) == (plain, 44)
+    rolled = steps.draw_steps(random.Random(7), 40, 4, 9, 2)
+    rest = [step for step in rolled if step.name != steps.ROLL]
+    assert (rest, len(rolled)) == (mixed, 46)
 
 
 def test_every_step_has_a_method():
     """Guards against a step without a method that carries it out."""
-    for name in (*steps.WEIGHTS, *steps.ODD_WEIGHTS):
+    for name in (*steps.WEIGHTS, *steps.ODD_WEIGHTS, steps.ROLL):
         assert hasattr(faults.FaultInjector, f"_{name}")
 
 
