--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -52,9 +52,10 @@
 """
 # Runs a node that gets SIGTERM at the end of its start, before its loop runs.
 STOPPED_AT_START = """\
-import os, signal
+import atexit, os, signal
 from filbertlift_platform import program
 
+atexit.register(print, "finalized", flush=True)
 start = program.nodes.Node.start
 
 def start_and_signal(node):
@@ -94,3 +95,13 @@
     assert ended.returncode == 0, ended.stderr
     assert "event=node.leaving" in ended.stdout
     assert "event=node.stop " in ended.stdout
+
+
+def test_a_stopped_node_ends_without_finalizing(ended):
+    """Guards against a process that outlives its grace period on a busy host.
+
+    Its log is complete all the same.
+    """
+    assert ended.returncode == 0, ended.stderr
+    assert "event=node.stop " in ended.stdout
+    assert "finalized" not in ended.stdout
