Don't take a pause of the node itself for the silence of a peer

Cause: timers run before sockets are read, so after a pause of this node a link's probe counted the pause as silence, and the link was closed while the answers of the peer, or its pongs, waited to be read. With real processes: a node that gets SIGTERM with ten unsafe calls of 3.5 s at work elsewhere and is suspended for 2.3 s answered all ten with 502 (link-silent for 2.5 s). Change: the delay of the probe itself isn't counted. Result: the new test failed before for pauses of 2.3 and 30 s.

--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -85,6 +85,7 @@
         self._is_awaiting = False
         self._connector: Any = None
         self._probe_timer: Any = None
+        self._probe_due_at = 0.0
 
     @property
     def is_full(self) -> bool:
@@ -201,6 +202,7 @@
             self._schedule_probe()
 
     def _schedule_probe(self) -> None:
+        self._probe_due_at = self._reactor.seconds() + PROBE_INTERVAL_S
         self._probe_timer = self._reactor.callLater(
             PROBE_INTERVAL_S, self._probe
         )
@@ -209,7 +211,12 @@
         self._probe_timer = None
         if self.is_closed or not self._is_probed:
             return
-        silent_s = self._reactor.seconds() - self._heard_at
+        now = self._reactor.seconds()
+        # Timers run before sockets are read, so while this node was late the
+        # peer may have sent bytes that have not been read yet.
+        late_s = now - self._probe_due_at
+        self._heard_at = min(now, self._heard_at + late_s)
+        silent_s = now - self._heard_at
         if silent_s >= SILENCE_LIMIT_S:
             self.close(f"silent for {silent_s:.1f} s")
             return
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -103,6 +103,18 @@
     assert [a.end for a in bench.answers] == [AttemptEnd.BROKEN]
 
 
+@pytest.mark.parametrize("pause_s", [2.3, 30.0])
+def test_a_peer_is_not_blamed_for_a_pause_of_this_node(bench, pause_s):
+    """Guards against calls given up while their answers wait to be read."""
+    bench.submit()
+    link = bench.open()
+    bench.reactor.advance(pause_s)
+    assert not link.is_closed and not bench.suspected
+    # A peer that stays silent afterwards is noticed as usual.
+    bench.reactor.pump([0.1] * 26)
+    assert link.is_closed
+
+
 def test_a_silent_link_is_closed_when_its_calls_end_before(bench):
     """Guards against calls that time out on a silent link one by one."""
     link = None
