Read what has arrived before a call is ended by its deadline

Cause: timers run before sockets are read, so after a pause of the node a call was answered with 504 though its answer was waiting to be read. Change: a call whose time is over ends one iteration of the event loop later. Result: the new test failed before (504 in place of the target's answer).

--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -390,6 +390,13 @@
         self.entry.answer(self.reply, self.request, status, reason)
 
     def _time_out(self) -> None:
+        """Ends the call once the bytes that have arrived are read.
+
+        Timers run before sockets are read, so the answer may wait there.
+        """
+        self._timer = self.entry.reactor.callLater(0, self._give_up)
+
+    def _give_up(self) -> None:
         if self.is_over:
             return
         if self._is_streaming:
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -231,6 +231,19 @@
     assert bench.remote.cancelled
 
 
+def test_an_answer_that_waits_to_be_read_goes_before_the_deadline(bench):
+    """Guards against a 504 for a call that was answered while the node paused.
+
+    The loop runs the late timers first, then reads the answer.
+    """
+    reply = bench.call(**{"x-deadline": "500"})
+    bench.clock.callLater(
+        0.6, bench.remote.answer, 0, AttemptEnd.ANSWERED, status=200
+    )
+    bench.clock.advance(2.0)
+    assert [sent[0] for sent in reply.sent] == [200]
+
+
 def test_a_call_is_withdrawn_when_its_caller_leaves(bench):
     reply = bench.call()
     reply.on_gone()
