Keep silent links open while a node leaves

Cause: a link is closed after 2 s of silence, and its calls are answered with 502, also if the peer is only slow and its target at work. With real processes: ten unsafe calls of 3.5 s, SIGTERM of their entry, then 2.3 s without processor time for their keeper: all ten were answered with 502 (link-silent for 2.1 s). Change: a leaving node closes no link for its silence. Its calls end with the stop, and the kernel still closes the connections of a host that is gone.

--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -244,6 +244,7 @@
         self._planned_stop = stop
         stop.start()
         self.entry.leave(stop.get_last_answer_at())
+        self._remote.leave()
         self._update_own()
 
     def reload(self, settings: node_settings.NodeSettings) -> None:
--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -63,6 +63,8 @@
         is_closed: whether the link was closed or lost.
         outstanding: number of calls that wait for an answer on this link.
         last_used: when the last call was sent, in seconds.
+        has_silence_limit: whether the link is closed after a silence. Without
+            that the kernel still closes it if the peer's host is gone.
     """
 
     transport: Any
@@ -75,6 +77,7 @@
         self.is_closed = False
         self.outstanding = 0
         self.last_used = reactor.seconds()
+        self.has_silence_limit = True
         self._reactor = reactor
         self._events = events
         self._reader = frames.FrameReader()
@@ -217,7 +220,7 @@
         late_s = now - self._probe_due_at
         self._heard_at = min(now, self._heard_at + late_s)
         silent_s = now - self._heard_at
-        if silent_s >= SILENCE_LIMIT_S:
+        if self.has_silence_limit and silent_s >= SILENCE_LIMIT_S:
             self.close(f"silent for {silent_s:.1f} s")
             return
         if silent_s >= SUSPECT_AFTER_S:
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -60,6 +60,7 @@
             calls and has been silent for a while.
         on_message: called with each message that is not about a call.
         links: the open links by peer and lane.
+        is_leaving: whether this node leaves.
     """
 
     reactor: Any
@@ -68,6 +69,7 @@
     on_suspect: Callable[[model.Address], None]
     on_message: Any = None
     links: dict[Lane, peerlink.PeerLink] = attrs.field(factory=dict)
+    is_leaving: bool = False
     _calls: dict[int, RemoteCall] = attrs.field(factory=dict)
     _last_stream: int = 0
 
@@ -111,10 +113,21 @@
             self._receive, self._handle_down, self._report_suspect
         )
         link = peerlink.PeerLink(self.reactor, events, address)
+        link.has_silence_limit = not self.is_leaving
         self.links[(address, lane)] = link
         link.connect()
         return link
 
+    def leave(self) -> None:
+        """Keeps silent links open while this node leaves.
+
+        All its calls end soon, and a peer that is only slow has their targets
+        at work.
+        """
+        self.is_leaving = True
+        for link in self.links.values():
+            link.has_silence_limit = False
+
     def close_idle(self) -> None:
         """Closes the links that were idle for longer than the limit."""
         now = self.reactor.seconds()
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -115,6 +115,22 @@
     assert link.is_closed
 
 
+@pytest.mark.parametrize("is_new", [False, True], ids=["open", "new"])
+def test_a_leaving_node_waits_for_a_slow_peer(bench, is_new):
+    """Guards against calls that a stop ends while their targets are at work."""
+    if is_new:
+        bench.calls.leave()
+    remote_call = bench.submit()
+    link = bench.open()
+    if not is_new:
+        bench.calls.leave()
+    bench.reactor.pump([0.1] * 40)
+    assert bench.suspected and not link.is_closed
+    answer = frames.Answer(remote_call.stream, AttemptEnd.ANSWERED, "ok", 200)
+    link.dataReceived(frames.encode_message(answer))
+    assert bench.answers == [answer]
+
+
 def test_a_silent_link_is_closed_when_its_calls_end_before(bench):
     """Guards against calls that time out on a silent link one by one."""
     link = None
