Let a leaving keeper refuse the calls that it cannot end in time

Cause: calls that waited at a keeper when it got SIGTERM stayed in its queue to the end of its stop, as if it went on. The close of its links then ended them, and those started last, with 502 at their entry. With real processes, 40 unsafe calls of 1.5 s, two targets with six slots, SIGTERM of one keeper and 0.7 s later of the entry: 11 answers with 502 (link lost), six of them with their target at work and five that had not run. Change: a keeper that leaves takes the time of the last answer as the deadline of all that it has not started, and refuses as not run, with the reason leaving, what is not expected to end by then. The new test failed before.

--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 from typing import Final
 
@@ -98,6 +99,8 @@
         target: state of the target.
         pool: connections to the target.
         backlog: slots and waiting calls.
+        end_at: when every run has to end, in seconds; no limit unless this
+            node leaves.
     """
 
     reactor: Any
@@ -105,6 +108,7 @@
     pool: exchange.TargetPool
     log: eventlog.EventLog
     backlog: backlogs.Backlog = attrs.field(factory=backlogs.Backlog)
+    end_at: float = math.inf
     _waiting: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
     _running: dict[backlogs.Ticket, KeptCall] = attrs.field(factory=dict)
     _down_until: float = float("-inf")
@@ -134,7 +138,7 @@
             call.work_class,
             call.priority,
             now + call.objective_ms / 1000,
-            now + call.left_ms / 1000,
+            min(now + call.left_ms / 1000, self.end_at),
         )
         kept = KeptCall(call, ticket, on_answer, on_chunk, is_backlogged)
         reason = self._find_refusal(call, now)
@@ -143,7 +147,8 @@
             return kept
         result = self.backlog.offer(ticket, call.max_wait_ms / 1000, now)
         if isinstance(result, backlogs.Refused):
-            self._refuse(kept, result.reason.value, result.retry_after_s)
+            reason = self._explain_refusal(result.reason.value)
+            self._refuse(kept, reason, result.retry_after_s)
         elif isinstance(result, backlogs.Waiting):
             self._waiting[ticket] = kept
             self._schedule_poll()
@@ -193,6 +198,15 @@
         for ticket in self.backlog.clear():
             self._refuse(self._waiting.pop(ticket), reason, 0.0)
 
+    def leave(self, end_at: float) -> None:
+        """Runs only calls that should end by a time in seconds.
+
+        The other waiting calls are refused, so that they can run elsewhere.
+        """
+        self.end_at = end_at
+        for ticket in self._waiting:
+            ticket.deadline = min(ticket.deadline, end_at)
+
     def close(self) -> None:
         """Stops timers and connections."""
         if self._poll_timer is not None and self._poll_timer.active():
@@ -212,6 +226,10 @@
             return reasons.OTHER_SERVICE
         return ""
 
+    def _explain_refusal(self, reason: str) -> str:
+        is_leaving = math.isfinite(self.end_at)
+        return reasons.LEAVING if is_leaving else reason
+
     def _start(self, kept: KeptCall, now: float) -> None:
         usable = self.target.get_usable(now)
         if usable is None:
@@ -437,7 +455,8 @@
     def _poll(self) -> None:
         now = self.reactor.seconds()
         for ticket in self.backlog.drop_late(now):
-            self._refuse(self._waiting.pop(ticket), reasons.TOO_LATE, 0.0)
+            reason = self._explain_refusal(reasons.TOO_LATE)
+            self._refuse(self._waiting.pop(ticket), reason, 0.0)
         if self.target.get_usable(now) is None:
             self.refuse_waiting(reasons.TARGET_LEAVING)
         if self._waiting:
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -245,6 +245,7 @@
         stop.start()
         self.entry.leave(stop.get_last_answer_at())
         self._remote.leave()
+        self._keeper.leave(stop.get_last_answer_at())
         self._update_own()
 
     def reload(self, settings: node_settings.NodeSettings) -> None:
--- a/libs/sidecar/tests/test_keeper.py
+++ b/libs/sidecar/tests/test_keeper.py
@@ -244,3 +244,27 @@
     data = bench.pool.sent[0][0].data
     assert b"X-Deadline: 300\r\n" in data
     assert b"X-Instance: i-1\r\n" in data
+
+
+@pytest.mark.parametrize("is_new", [False, True], ids=["waiting", "new"])
+def test_a_leaving_keeper_refuses_what_it_cannot_end_in_time(bench, is_new):
+    """Guards against calls that wait at a keeper until its process ends."""
+    patient = {"left_ms": 9000, "max_wait_ms": 9000, "objective_ms": 9000}
+    bench.submit(1, **patient)
+    bench.clock.advance(0.4)
+    bench.pool.sent[0][1].on_answer(make_answer())
+    for number in (2, 3):
+        bench.submit(number, **patient)
+    if not is_new:
+        bench.submit(4, **patient)
+    bench.keeper.leave(1.3)
+    if is_new:
+        bench.submit(4, **patient)
+    bench.clock.advance(keeper.POLL_INTERVAL_S)
+    assert bench.ends == [(1, AttemptEnd.ANSWERED), (4, AttemptEnd.NOT_RUN)]
+    assert bench.answers[-1].reason == "leaving"
+    # The others run, and their target learns how long.
+    bench.pool.sent[1][1].on_answer(make_answer())
+    assert len(bench.pool.sent) == 3
+    _, _, rest = bench.pool.sent[2][0].data.partition(b"X-Deadline: ")
+    assert int(rest.split()[0]) <= 1300 - 400
