Count the times of a stop from its signal, with margins for a late loop

Cause: the steps of a stop counted from the handling of SIGTERM, while the grace period counts from the signal, and the margins at its end were the same however late the event loop ran. Change: plan_times takes the time at which the signal was received and the usual delay of the loop, the median of the last five steps of the housekeeping, so that a single pause doesn't count. Delays up to 0.5 s change nothing; for longer ones the last answers are due earlier, by a third of the grace period at most. Delays of a step are measured against its fixed times; before, a loop that was always late counted as late once. node.leaving has loop_late_s. Result: the tests give the signal 2 s before its handling and delays up to 1.5 s; start had no such arguments before. No run with real processes has shown a call that is lost for this reason.

--- a/libs/sidecar/src/filbertlift_sidecar/loops.py
+++ b/libs/sidecar/src/filbertlift_sidecar/loops.py
@@ -1,7 +1,9 @@
 """Loops of a node that run until it stops."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
+import statistics
 from typing import Any
 from typing import Final
 
@@ -10,6 +12,9 @@
 
 # Pause before a loop that ended with a fault runs again, in seconds.
 RESTART_DELAY_S: Final = 1.0
+# Number of the last delays of a step whose median is the expected delay. With a
+# median a single pause doesn't count.
+DELAY_SAMPLES: Final = 5
 
 
 @attrs.define(eq=False)
@@ -49,3 +54,34 @@
             return
         self.on_fault(reason.getErrorMessage())
         self._timer = self.reactor.callLater(RESTART_DELAY_S, self.start)
+
+
+@attrs.define(eq=False)
+class DelayMeter:
+    """Measures how late the event loop runs a step of fixed times.
+
+    Attributes:
+        due_at: when the step is due next, in seconds.
+        interval_s: time between two steps, in seconds.
+    """
+
+    due_at: float
+    interval_s: float
+    _delays_s: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque([0.0], maxlen=DELAY_SAMPLES)
+    )
+
+    @property
+    def expected_s(self) -> float:
+        """Delay to expect of later steps, in seconds."""
+        return statistics.median(self._delays_s)
+
+    def note_step(self, now: float) -> float:
+        """Records that the step runs now; returns its delay in seconds.
+
+        Steps that are missed altogether are not run later.
+        """
+        late_s = max(0.0, now - self.due_at)
+        self._delays_s.append(late_s)
+        self.due_at += self.interval_s * (1 + late_s // self.interval_s)
+        return late_s
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -28,6 +28,7 @@
 from filbertlift_sidecar import gossip
 from filbertlift_sidecar import inbound
 from filbertlift_sidecar import keeper
+from filbertlift_sidecar import loops
 from filbertlift_sidecar import metrics
 from filbertlift_sidecar import peerlink
 from filbertlift_sidecar import registry
@@ -104,7 +105,7 @@
         self._planned_stop: shutdown.PlannedStop | None = None
         self._placed_changes = -1
         self._refreshed_at = float("-inf")
-        self._housekeeping_at = 0.0
+        self._delays = loops.DelayMeter(0.0, HOUSEKEEPING_INTERVAL_S)
         self._target = announcements.LocalTarget(
             str(settings.target), settings.beat_interval_s
         )
@@ -208,9 +209,7 @@
         self._gossip.start()
         self._registry.start()
         self._versions.start()
-        self._housekeeping_at = self._reactor.seconds() + (
-            HOUSEKEEPING_INTERVAL_S
-        )
+        self._delays.due_at = self._reactor.seconds() + HOUSEKEEPING_INTERVAL_S
         self._loop.start(HOUSEKEEPING_INTERVAL_S, now=False)
 
     def stop(self, signalled_at: float | None = None) -> None:
@@ -223,9 +222,12 @@
             return
         self._is_stopping = True
         now = self._reactor.seconds()
+        if signalled_at is None:
+            signalled_at = now
         self._log.log(
             "node.leaving",
-            late_s=0.0 if signalled_at is None else now - signalled_at,
+            late_s=now - signalled_at,
+            loop_late_s=self._delays.expected_s,
             calls=len(self.entry.flows),
             kept=self._keeper.in_flight,
         )
@@ -242,7 +244,7 @@
             self.settings.grace_s,
         )
         self._planned_stop = stop
-        stop.start()
+        stop.start(signalled_at, self._delays.expected_s)
         self.entry.leave(stop.get_last_answer_at())
         self._remote.leave()
         self._keeper.leave(stop.get_last_answer_at())
@@ -369,8 +371,7 @@
 
     def _run_housekeeping(self) -> None:
         now = self._reactor.seconds()
-        late_s = now - self._housekeeping_at
-        self._housekeeping_at = now + HOUSEKEEPING_INTERVAL_S
+        late_s = self._delays.note_step(now)
         if late_s >= MIN_LOGGED_DELAY_S:
             self._log.log("loop.late", late_s=late_s)
         self._pool.drop_idle()
--- a/libs/sidecar/src/filbertlift_sidecar/shutdown.py
+++ b/libs/sidecar/src/filbertlift_sidecar/shutdown.py
@@ -22,6 +22,11 @@
 # Time before the end of the grace period at which the last calls are answered,
 # in seconds.
 ANSWER_MARGIN_S: Final = 0.8
+# Time for the last answers to be sent, in seconds, on top of the delay of a
+# late event loop.
+SEND_TIME_S: Final = 0.3
+# Share of the grace period that the margins may take on a late event loop.
+MAX_MARGIN_SHARE: Final = 1 / 3
 # Time before the end of the grace period at which the node closes even if
 # callers have not taken their answers, in seconds. A host that runs five times
 # slower takes 0.5 s to end its process.
@@ -32,6 +37,47 @@
 LINGER_S: Final = 0.15
 
 
+@attrs.frozen
+class StopTimes:
+    """Times of the steps of a stop, in seconds.
+
+    Attributes:
+        refuse_peers_at: when new calls of peers are refused.
+        refuse_callers_at: when new calls of this host are refused.
+        last_answer_at: when every call has to be answered.
+        close_at: when the node closes even if it is not idle.
+    """
+
+    refuse_peers_at: float
+    refuse_callers_at: float
+    last_answer_at: float
+    close_at: float
+
+
+def plan_times(signalled_at: float, grace_s: float, late_s: float) -> StopTimes:
+    """Returns the times of the steps of a stop.
+
+    Args:
+        signalled_at: when the signal to stop was received, in seconds.
+        grace_s: time from the signal until the process is killed, in seconds.
+        late_s: delay with which steps are expected to run, in seconds.
+    """
+    extra_s = max(0.0, late_s - (ANSWER_MARGIN_S - SEND_TIME_S))
+    most_s = max(0.0, MAX_MARGIN_SHARE * grace_s - ANSWER_MARGIN_S)
+    margin_s = ANSWER_MARGIN_S + min(extra_s, most_s)
+    answering_s = max(0.0, grace_s - margin_s)
+    # Callers need as much time after the last answer as on a punctual loop.
+    closing_s = grace_s - margin_s + (ANSWER_MARGIN_S - CLOSE_MARGIN_S)
+    # With a short grace period there is no time for the whole notice.
+    notice_s = min(LEAVE_NOTICE_S, answering_s / 2)
+    return StopTimes(
+        signalled_at + PEER_NOTICE_S,
+        signalled_at + notice_s,
+        signalled_at + answering_s,
+        signalled_at + closing_s,
+    )
+
+
 @attrs.frozen
 class StopActions:
     """What a node does in a planned stop, and what it waits for.
@@ -66,22 +112,33 @@
     actions: StopActions
     grace_s: float
     max_late_s: float = 0.0
-    _started_at: float = 0.0
+    _times: StopTimes = StopTimes(0.0, 0.0, 0.0, 0.0)
     _check_at: float = 0.0
 
-    def start(self) -> None:
-        """Begins the stop."""
-        self._started_at = self.reactor.seconds()
-        self.reactor.callLater(PEER_NOTICE_S, self.actions.refuse_peers)
-        # With a short grace period there is no time for the whole notice.
-        serving_s = self.get_last_answer_at() - self._started_at
-        notice_s = min(LEAVE_NOTICE_S, serving_s / 2)
-        self._check_at = self._started_at + notice_s
-        self.reactor.callLater(notice_s, self._end_notice)
+    def start(
+        self, signalled_at: float | None = None, late_s: float = 0.0
+    ) -> None:
+        """Begins the stop.
+
+        Args:
+            signalled_at: when the signal to stop was received, in seconds; now
+                by default.
+            late_s: delay with which steps are expected to run, in seconds.
+        """
+        if signalled_at is None:
+            signalled_at = self.reactor.seconds()
+        self._times = plan_times(signalled_at, self.grace_s, late_s)
+        self._call_at(self._times.refuse_peers_at, self.actions.refuse_peers)
+        self._check_at = self._times.refuse_callers_at
+        self._call_at(self._check_at, self._end_notice)
 
     def get_last_answer_at(self) -> float:
         """Returns when every call has to be answered, in seconds."""
-        return self._started_at + max(0.0, self.grace_s - ANSWER_MARGIN_S)
+        return self._times.last_answer_at
+
+    def _call_at(self, at: float, function: Callable[[], None]) -> None:
+        delay_s = max(0.0, at - self.reactor.seconds())
+        self.reactor.callLater(delay_s, function)
 
     def _end_notice(self) -> None:
         self.actions.refuse_callers()
@@ -95,8 +152,7 @@
             self.actions.stop_accepting()
             self.reactor.callLater(LINGER_S, self.actions.close)
             return
-        close_at = self._started_at + self.grace_s - CLOSE_MARGIN_S
-        if self.reactor.seconds() >= close_at:
+        if self.reactor.seconds() >= self._times.close_at:
             self.actions.close()
             return
         self._check_at = self.reactor.seconds() + CHECK_INTERVAL_S
--- a/libs/sidecar/tests/test_loops.py
+++ b/libs/sidecar/tests/test_loops.py
@@ -45,3 +45,22 @@
     assert bench.runs == 1
     assert bench.errors == errors
     assert not bench.clock.getDelayedCalls()
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.3, 0.9, 2.4])
+def test_a_loop_that_is_always_late_is_expected_to_be_late(late_s):
+    """Guards against a steady delay that is counted once only."""
+    clock = task.Clock()
+    meter = loops.DelayMeter(1.0, 1.0)
+    for _ in range(9):
+        clock.advance(meter.due_at + late_s - clock.seconds())
+        assert meter.note_step(clock.seconds()) == pytest.approx(late_s)
+    assert meter.expected_s == pytest.approx(late_s)
+
+
+def test_a_single_pause_does_not_change_the_expected_delay():
+    """Guards against a stop that ends its calls early for one pause."""
+    meter = loops.DelayMeter(1.0, 1.0)
+    for now in (1.0, 2.0, 5.3, 6.0, 7.0):
+        meter.note_step(now)
+    assert meter.expected_s == 0.0
--- a/libs/sidecar/tests/test_shutdown.py
+++ b/libs/sidecar/tests/test_shutdown.py
@@ -82,3 +82,37 @@
     stop.start()
     bench.clock.advance(shutdown.LEAVE_NOTICE_S + 0.7)
     assert stop.max_late_s == pytest.approx(0.7)
+
+
+def test_the_times_of_a_stop_count_from_its_signal():
+    """Guards against a node that is killed since it learnt late of its stop."""
+    bench = Bench(sent_at=1e9)
+    bench.times.clear()
+    now = bench.clock.seconds()
+    stop = shutdown.PlannedStop(bench.clock, bench.actions, GRACE_S)
+    stop.start(now - 2.0)
+    bench.clock.pump([STEP_S] * round(GRACE_S / STEP_S))
+    assert bench.times["refuse_peers"] == pytest.approx(now, abs=2 * STEP_S)
+    assert bench.times["refuse_callers"] == pytest.approx(
+        now - 2.0 + shutdown.LEAVE_NOTICE_S, abs=2 * STEP_S
+    )
+    assert stop.get_last_answer_at() < bench.times["close"]
+    assert bench.times["close"] < now - 2.0 + GRACE_S
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.5, 1.0, 1.5])
+def test_the_last_answers_are_in_time_on_a_late_loop(late_s):
+    """Guards against answers that a late loop sends after the process ended."""
+    times = shutdown.plan_times(100.0, GRACE_S, late_s)
+    assert times.last_answer_at + late_s + 0.2 < 100.0 + GRACE_S
+    assert times.refuse_callers_at < times.last_answer_at < times.close_at
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 1.0, 6.0, 30.0])
+def test_a_very_late_loop_leaves_most_of_the_grace_period(grace_s):
+    """Guards against calls that are cut long before their process ends."""
+    times = shutdown.plan_times(100.0, grace_s, 60.0)
+    margin_s = max(shutdown.ANSWER_MARGIN_S, grace_s / 3)
+    answering_s = max(0.0, grace_s - margin_s)
+    assert times.last_answer_at == pytest.approx(100.0 + answering_s)
+    assert times.close_at < 100.0 + grace_s
