--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -63,6 +63,8 @@
         is_closed: whether the link was closed or lost.
         outstanding: number of calls that wait for an answer on this link.
         last_used: when the last call was sent, in seconds.
+        has_silence_limit: whether the link is closed after a silence. Without
+            that the kernel still closes it if the peer's host is gone.
     """
 
     transport: Any
@@ -75,6 +77,7 @@
         self.is_closed = False
         self.outstanding = 0
         self.last_used = reactor.seconds()
+        self.has_silence_limit = True
         self._reactor = reactor
         self._events = events
         self._reader = frames.FrameReader()
@@ -85,6 +88,7 @@
         self._is_awaiting = False
         self._connector: Any = None
         self._probe_timer: Any = None
+        self._probe_due_at = 0.0
 
     @property
     def is_full(self) -> bool:
@@ -201,6 +205,7 @@
             self._schedule_probe()
 
     def _schedule_probe(self) -> None:
+        self._probe_due_at = self._reactor.seconds() + PROBE_INTERVAL_S
         self._probe_timer = self._reactor.callLater(
             PROBE_INTERVAL_S, self._probe
         )
@@ -209,8 +214,13 @@
         self._probe_timer = None
         if self.is_closed or not self._is_probed:
             return
-        silent_s = self._reactor.seconds() - self._heard_at
-        if silent_s >= SILENCE_LIMIT_S:
+        now = self._reactor.seconds()
+        # Timers run before sockets are read, so while this node was late the
+        # peer may have sent bytes that have not been read yet.
+        late_s = now - self._probe_due_at
+        self._heard_at = min(now, self._heard_at + late_s)
+        silent_s = now - self._heard_at
+        if self.has_silence_limit and silent_s >= SILENCE_LIMIT_S:
             self.close(f"silent for {silent_s:.1f} s")
             return
         if silent_s >= SUSPECT_AFTER_S:
