Read the saved departures of a host before they are replaced

Cause: a node that got a departure before it had read its entry in the store saved that one alone, and overwrote those of the nodes before it.

Change: departures are saved once the list was read.

--- a/libs/sidecar/src/filbertlift_sidecar/registry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/registry.py
@@ -110,7 +110,8 @@
         value, lease = self._departure, self._lease
         if value is None or self._is_departure_saved():
             return
-        if not lease:
+        if not lease or not self.is_listed:
+            # The entry may have departures that an earlier node saved.
             raise store_exceptions.StoreUnavailable("not registered yet")
         key = DEPARTURE_PREFIX + str(self.table.own.address)
         await self.store.put_leased(key, value, lease)
@@ -128,9 +129,11 @@
             try:
                 await self._renew()
                 self.on_store(True)
-                await self._save_departure()
+                if self.is_listed:
+                    await self._save_departure()
                 if self.reactor.seconds() >= self._list_due_at:
                     await self._read_list()
+                await self._save_departure()
             except store_exceptions.StoreError as error:
                 self.on_store(False)
                 self.log.log_request("registry.failed", error=error)
--- a/libs/sidecar/tests/test_registry.py
+++ b/libs/sidecar/tests/test_registry.py
@@ -282,3 +282,17 @@
     for _ in range(3):
         bench.registry.save_departures([LEFT])
     assert bench.calls == ["put"]
+
+
+def test_a_departure_at_the_start_does_not_replace_those_of_earlier_nodes():
+    """Guards against an entry that is overwritten before it was read."""
+    host = Bench()
+    key = registry.DEPARTURE_PREFIX + str(host.table.own.address)
+    value = departures.encode_departures([LEFT])
+    host.entries = {key: interface.Entry(value, 5)}
+    failures = []
+    host.registry.save_departures([LEFT]).addErrback(failures.append)
+    host.registry.start()
+    host.wait(1.0)
+    assert host.restored
+    assert host.calls == ["grant", "put", "list", "put"]
