--- a/soak/src/filbertlift_soak/main.py
+++ b/soak/src/filbertlift_soak/main.py
@@ -22,6 +22,9 @@
     odd_steps: int = typer.Option(
         4, help="Further steps: odd entries and repeated refusals."
     ),
+    late_steps: int = typer.Option(
+        1, help="Further steps: departures with the store away."
+    ),
     hosts: int = typer.Option(9, help="Hosts, each with its own node."),
     rolls: int = typer.Option(1, help="Stops of several hosts in series."),
 ) -> None:
@@ -37,7 +40,14 @@
             folder = pathlib.Path(tempfile.mkdtemp(prefix="filbertlift-soak-"))
             print(f"seed={number} steps={steps} logs={folder}", flush=True)
             problems = await world.run_world(
-                reactor, folder, number, steps, odd_steps, hosts, rolls
+                reactor,
+                folder,
+                number,
+                steps,
+                odd_steps,
+                hosts,
+                late_steps,
+                rolls,
             )
             for problem in problems:
                 print(f"problem: {problem}", flush=True)
--- a/soak/src/filbertlift_soak/steps.py
+++ b/soak/src/filbertlift_soak/steps.py
@@ -41,6 +41,8 @@
     "target_return": 3,
     "weights": 3,
 }
+# The same for steps that are drawn after those.
+LATE_WEIGHTS: Final = {"target_forget": 1}
 # Stops of several hosts one after another, beside reloads or over narrow links;
 # drawn last for the same reason.
 ROLL: Final = "roll"
@@ -52,6 +54,7 @@
     "links_silent": ("both", "in", "out"),
     "weights": ("first", "last"),
     "roll": ("", "narrow", "reload"),
+    "target_forget": ("busy", "reset", "silent"),
     "target_fault": ("shed", "error", "lose", "garble", "extra", "mute"),
 }
 MIN_DURATION_S: Final = 0.5
@@ -91,6 +94,7 @@
     count: int,
     odd_count: int,
     hosts: int,
+    late_count: int = 0,
     roll_count: int = 0,
 ) -> list[Step]:
     """Returns the steps of a run; the same seed yields the same steps.
@@ -100,6 +104,7 @@
         count: number of steps, which follow one another.
         odd_count: number of further steps in `ODD_WEIGHTS`, at any time.
         hosts: number of hosts.
+        late_count: number of further steps in `LATE_WEIGHTS`, at any time.
         roll_count: number of stops in series, at any time.
     """
     steps: list[Step] = []
@@ -108,13 +113,15 @@
     for name in names:
         at_s = round(at_s + rng.uniform(0.1, MAX_GAP_S), 2)
         steps.append(_draw_step(rng, name, at_s, hosts))
-    names = rng.choices(
-        list(ODD_WEIGHTS), list(ODD_WEIGHTS.values()), k=odd_count
-    )
-    names += [ROLL] * roll_count
-    for name in names:
-        any_at_s = round(rng.uniform(0.0, at_s), 2)
-        steps.append(_draw_step(rng, name, any_at_s, hosts))
+    for weights, number in (
+        (ODD_WEIGHTS, odd_count),
+        (LATE_WEIGHTS, late_count),
+        ({ROLL: 1}, roll_count),
+    ):
+        names = rng.choices(list(weights), list(weights.values()), k=number)
+        for name in names:
+            any_at_s = round(rng.uniform(0.0, at_s), 2)
+            steps.append(_draw_step(rng, name, any_at_s, hosts))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -371,13 +371,19 @@
     step_count: int,
     odd_count: int,
     host_count: int,
+    late_count: int,
     roll_count: int = 0,
 ) -> "defer.Deferred[list[str]]":
     """Runs one seed; the result has one line for each broken guarantee."""
 
     async def run() -> list[str]:
         plan = steps.draw_steps(
-            random.Random(seed), step_count, odd_count, host_count, roll_count
+            random.Random(seed),
+            step_count,
+            odd_count,
+            host_count,
+            late_count,
+            roll_count,
         )
         world = World(reactor, folder, seed, host_count)
         try:
