--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -1,7 +1,7 @@
 """Connections to the target on this host, with one request at a time on each.
 
-A target may close the connection within an answer, or send malformed bytes or
-answers to earlier requests; see `answers` for the latter.
+What the received bytes and the end of a connection mean for the request is
+decided by `answerreader`.
 """
 
 from collections.abc import Callable
@@ -9,16 +9,15 @@
 from typing import Final
 
 import attrs
-import httptools
 from twisted.internet import error as twisted_errors
 from twisted.internet import protocol
 from twisted.python import failure
 
 from filbertlift_core import model
+from filbertlift_sidecar import answerreader
 from filbertlift_sidecar import answers
 from filbertlift_sidecar import sockets
 from filbertlift_transport import dialling
-from filbertlift_transport import http
 from filbertlift_transport import outputs
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -32,13 +31,6 @@
 # Subtracted from the idle limit that the target announces, in seconds, since
 # the target starts its timer before this node does.
 IDLE_MARGIN_S: Final = 1.0
-MAX_HEAD_BYTES: Final = 65_536
-# Answers up to this size are buffered before they are forwarded, so that a
-# truncated one can be replaced by another attempt.
-MAX_BUFFERED_BYTES: Final = 2 * 1024 * 1024
-# Bytes of answers to other requests that are skipped before the answer that is
-# due; a faulty target may send them without end.
-MAX_SKIPPED_BYTES: Final = 16 * 1024 * 1024
 # Interval at which a connection that is not read checks whether the streamed
 # data was passed on, in seconds.
 RESUME_INTERVAL_S: Final = 0.05
@@ -91,7 +83,7 @@
         self.idle_limit_s = IDLE_LIMIT_S
         self.refused_ids: set[str] = set()
         self._pool = pool
-        self._parser: Any = None
+        self._reader = answerreader.AnswerReader(pool.dialect)
         self._output: outputs.Output | None = None
         self._request: answers.TargetRequest | None = None
         self._events: ExchangeEvents | None = None
@@ -100,15 +92,6 @@
         self._reactor: Any = None
         self._connector: Any = None
         self._is_paused = False
-        self._keeps_alive = False
-        self._is_unusable = False
-        self._is_reused = False
-        self._pending_report: Callable[[], None] | None = None
-        self._state = answers.AnswerState()
-        # Bytes received since the last complete head or part of a body.
-        self._pending_bytes = 0
-        # Bytes of bodies that belong to other requests.
-        self._skipped_bytes = 0
 
     def connect(self, reactor: Any, address: model.Address) -> None:
         """Opens the connection."""
@@ -152,7 +135,6 @@
             return
         sockets.set_liveness(self.transport)
         self._output = outputs.Output(self.transport, lambda: None)
-        self._parser = httptools.HttpResponseParser(self)
         if self._request is not None:
             self._send()
 
@@ -160,30 +142,11 @@
         """Handles received bytes."""
         if self._is_closed:
             return
-        if self._request is None:
+        if not self._reader.has_request:
             # Without an outstanding request no bytes are expected.
             self.drop()
             return
-        self._pending_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            self._is_unusable = True
-            if self._request is not None:
-                self._fail("malformed", str(error))
-                return
-        if self._request is None:
-            self._finish()
-            return
-        # The parser keeps an incomplete line, which may have no end.
-        head_bytes = max(self._state.head_bytes, self._pending_bytes)
-        if not self._is_closed and head_bytes > MAX_HEAD_BYTES:
-            self._fail("head-too-large", "head of the answer is too large")
-        elif not self._is_closed and self._skipped_bytes > MAX_SKIPPED_BYTES:
-            self._fail("malformed", "too much data that is not the answer")
+        self._handle_events(self._reader.feed(data))
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -191,86 +154,30 @@
         """Completes a close-delimited answer, or reports a truncated one."""
         if self._is_closed:
             return
-        is_clean = reason.check(twisted_errors.ConnectionDone) is not None
-        if is_clean and self._state.ends_with_connection:
-            self._keeps_alive = False
-            self._complete()
-            self._finish()
+        if not self._reader.has_request:
+            self.drop()
             return
-        self._fail("lost", reason.getErrorMessage())
-
-    # Callbacks of httptools.
+        is_orderly = reason.check(twisted_errors.ConnectionDone) is not None
+        message = reason.getErrorMessage()
+        self._handle_events(self._reader.close(is_orderly, message))
 
-    def on_message_begin(self) -> None:
-        """An answer starts."""
-        self._reset()
-        if self._request is None:
-            # After a second answer the connection cannot be reused.
-            self._is_unusable = True
+    def _handle_events(self, events: list[answerreader.Event]) -> None:
+        for event in events:
+            if self._events is not None:
+                self._handle_event(event, self._events)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """A header arrived; trailers are ignored."""
-        if self._state.has_head:
-            return
-        self._state.head_bytes += len(name) + len(value)
-        key = name.decode("latin-1")
-        self._state.headers.append((key, value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        """The head is complete."""
-        status = self._parser.get_status_code()
-        if status < 200:
-            return
-        self._pending_bytes = 0
-        self._state.has_head = True
-        self._state.status = status
-        self._read_framing()
-
-    def on_body(self, data: bytes) -> None:
-        """A part of the body arrived."""
-        self._pending_bytes = 0
-        if self._state.is_mismatched or self._request is None:
-            self._skipped_bytes += len(data)
-            return
-        if self._state.is_streaming:
-            assert self._events is not None
-            self._events.on_data(data, False)
+    def _handle_event(
+        self, event: answerreader.Event, callbacks: ExchangeEvents
+    ) -> None:
+        if isinstance(event, answerreader.StreamStarted):
+            callbacks.on_answer(event.answer)
+        elif isinstance(event, answerreader.StreamData):
+            callbacks.on_data(event.data, False)
             self._pause_if_backlogged()
-            return
-        self._state.parts.append(data)
-        self._state.size += len(data)
-        if self._state.size > MAX_BUFFERED_BYTES:
-            self._begin_stream()
-
-    def on_message_complete(self) -> None:
-        """The answer is complete."""
-        if not self._state.has_head:
-            self._reset()
-            return
-        if self._request is None:
-            return
-        if self._state.is_mismatched:
-            # This is a late answer to an earlier request; the answer to the
-            # outstanding one follows.
-            self._is_unusable = True
-            self._reset()
-            return
-        self._keeps_alive = self._parser.should_keep_alive()
-        self._complete()
-
-    def _read_framing(self) -> None:
-        headers_by_name = self._state.process_headers(
-            self._pool.dialect, self._request, self._is_reused
-        )
-        self._read_keep_alive(headers_by_name.get("keep-alive", ""))
-
-    def _read_keep_alive(self, value: str) -> None:
-        for part in value.split(","):
-            name, _, text = part.strip().partition("=")
-            timeout_s = http.parse_length(text)
-            if name == "timeout" and timeout_s is not None:
-                limit_s = max(0.0, timeout_s - IDLE_MARGIN_S)
-                self.idle_limit_s = min(IDLE_LIMIT_S, limit_s)
+        elif isinstance(event, answerreader.Lost):
+            self._fail(event.reason, event.message)
+        else:
+            self._finish(event, callbacks)
 
     def _pause_if_backlogged(self) -> None:
         """Stops reading while streamed data waits to be passed on.
@@ -297,54 +204,27 @@
         self._is_paused = False
         self.transport.resumeProducing()
 
-    def _begin_stream(self) -> None:
-        assert self._events is not None
-        self._state.is_streaming = True
-        self._events.on_answer(self._make_answer(more=True))
-        self._state.parts = []
-
-    def _make_answer(self, more: bool) -> answers.TargetAnswer:
-        body = b"".join(self._state.parts)
-        length = self._state.length if more else len(body)
-        return answers.TargetAnswer(
-            self._state.status,
-            tuple(self._state.headers),
-            body,
-            length,
-            more,
-        )
-
-    def _complete(self) -> None:
-        """Ends the exchange; it is reported once all received bytes are parsed.
-
-        Bytes that follow a complete answer show that the connection cannot be
-        reused.
-        """
-        events, self._events = self._events, None
+    def _finish(
+        self, answered: answerreader.Answered, callbacks: ExchangeEvents
+    ) -> None:
+        """Keeps or closes the connection, then reports the answer."""
         request, self._request = self._request, None
-        self._is_reused = True
-        if request is not None and self._state.is_refusal(self._pool.dialect):
+        self._events = None
+        if request is not None and answered.is_refusal:
             self.refused_ids.add(request.request_id)
-        if events is not None:
-            answer = self._make_answer(more=False)
-            if self._state.is_streaming:
-                self._pending_report = lambda: events.on_data(b"", True)
-            else:
-                self._pending_report = lambda: events.on_answer(answer)
-        self._reset()
-
-    def _finish(self) -> None:
-        report, self._pending_report = self._pending_report, None
-        output = self._output
-        is_sent = output is not None and not output.is_full
-        is_usable = not self._is_unusable and not self._is_paused
-        if self._keeps_alive and is_sent and is_usable:
+        if answered.keep_alive_s is not None:
+            limit_s = max(0.0, answered.keep_alive_s - IDLE_MARGIN_S)
+            self.idle_limit_s = min(IDLE_LIMIT_S, limit_s)
+        # The unsent rest of a request would go out before the next one.
+        is_sent = self._output is not None and not self._output.is_full
+        if answered.is_reusable and is_sent and not self._is_paused:
             self._pool.put_idle(self)
         else:
-            # The unsent rest of a request would go out before the next one.
             self.drop()
-        if report is not None:
-            report()
+        if answered.answer is None:
+            callbacks.on_data(b"", True)
+        else:
+            callbacks.on_answer(answered.answer)
 
     def _fail(self, reason: str, message: str) -> None:
         events, is_sent = self._events, self._is_sent
@@ -355,13 +235,9 @@
     def _send(self) -> None:
         assert self._request is not None and self._output is not None
         self._is_sent = True
-        self._pending_bytes = 0
-        self._reset()
+        self._reader.start(self._request)
         self._output.write(self._request.data)
 
-    def _reset(self) -> None:
-        self._state = answers.AnswerState()
-
 
 class TargetPool:
     """Connections to the target on this host.
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -8,6 +8,7 @@
 from twisted.python import failure
 
 from filbertlift_core import model
+from filbertlift_sidecar import answerreader
 from filbertlift_sidecar import answers
 from filbertlift_sidecar import exchange
 
@@ -89,7 +90,7 @@
     """Guards against memory that grows until the target stops sending."""
     connection = bench.send()
     connection.dataReceived(start)
-    for _ in range(2 * exchange.MAX_HEAD_BYTES // len(rest)):
+    for _ in range(2 * answerreader.MAX_HEAD_BYTES // len(rest)):
         connection.dataReceived(rest)
     assert bench.answers == []
     assert [is_sent for _reason, is_sent in bench.failures] == [True]
@@ -109,7 +110,7 @@
 def test_a_large_late_answer_does_not_count_as_a_head(bench):
     """Guards against a call that fails because of an answer to another."""
     connection = bench.send("r-2")
-    late = make_answer("r-1", b"x" * 3 * exchange.MAX_HEAD_BYTES)
+    late = make_answer("r-1", b"x" * 3 * answerreader.MAX_HEAD_BYTES)
     connection.dataReceived(late)
     connection.dataReceived(make_answer("r-2", b"new"))
     assert [a.body for a in bench.answers] == [b"new"]
@@ -120,7 +121,7 @@
     connection = bench.send("r-2")
     connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n")
     part = b"x" * 1024 * 1024
-    for _ in range(exchange.MAX_SKIPPED_BYTES // len(part)):
+    for _ in range(answerreader.MAX_SKIPPED_BYTES // len(part)):
         connection.dataReceived(part)
     assert bench.failures == []
     connection.dataReceived(part)
@@ -475,7 +476,7 @@
 
 def test_a_large_answer_is_streamed(bench):
     connection = bench.send()
-    size = exchange.MAX_BUFFERED_BYTES + 10
+    size = answerreader.MAX_BUFFERED_BYTES + 10
     connection.dataReceived(make_answer(body=b"x" * size)[:-4])
     assert bench.answers[0].more and bench.answers[0].length == size
     connection.dataReceived(b"xxxx")
@@ -491,7 +492,7 @@
     bench.is_backlogged = True
     connection.dataReceived(
         b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
-        + b"x" * (exchange.MAX_BUFFERED_BYTES + 1)
+        + b"x" * (answerreader.MAX_BUFFERED_BYTES + 1)
     )
     connection.dataReceived(b"x")
     assert connection.transport.producerState == "paused"
@@ -508,7 +509,7 @@
     bench.is_backlogged = True
     connection.dataReceived(
         b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
-        + b"x" * (exchange.MAX_BUFFERED_BYTES + 1)
+        + b"x" * (answerreader.MAX_BUFFERED_BYTES + 1)
     )
     connection.dataReceived(b"x")
     connection.drop()
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -13,6 +13,7 @@
 MEMBERS_TEST: Final = "libs/membership/tests/test_members.py"
 VERSIONS_TEST: Final = "libs/distribution/tests/test_versions.py"
 REPLICA_TEST: Final = "libs/distribution/tests/test_replica.py"
+ANSWER_TEST: Final = "libs/sidecar/tests/test_answerreader.py"
 EXCHANGE_TEST: Final = "libs/sidecar/tests/test_exchange.py"
 
 
@@ -461,10 +462,26 @@
     Fault(
         "accept a refusal without an id on a reused connection",
         "sidecar",
-        "answers",
-        "        return is_reused or not self.is_refusal(dialect)\n",
-        "        return not self.is_refusal(dialect)\n",
-        EXCHANGE_TEST,
+        "answerreader",
+        "        is_due = is_refusal and not is_reused\n",
+        "        is_due = is_refusal\n",
+        ANSWER_TEST,
+    ),
+    Fault(
+        "take an answer to another request that ends with its connection",
+        "sidecar",
+        "answerreader",
+        "    if is_whole and owner is Owner.OUTSTANDING:\n",
+        "    if is_whole:\n",
+        ANSWER_TEST,
+    ),
+    Fault(
+        "take a whole answer to another request",
+        "sidecar",
+        "answerreader",
+        "        is_due = answered_id == request.request_id\n",
+        "        is_due = True\n",
+        ANSWER_TEST,
     ),
     Fault(
         "send another attempt on the connection that refused the first",
