End the answer to a HEAD request with its head

Cause: httptools waits for the body that Content-Length or chunks declare, or for the end of the connection, but the answer to HEAD has no body. The call waited until its deadline, or was lost with the connection.

Change: the head of the answer that is due ends a HEAD request. The connection is reused only if the head declares a length of 0.

Result: test_an_answer_without_a_body_ends_with_its_head and test_bytes_after_an_answer_without_a_body_rule_out_reuse failed for HEAD before (7 cases) and pass now. Their cases for 204 and 304 passed before, also with a length or in chunks: httptools ends these answers itself.

--- a/libs/sidecar/src/filbertlift_sidecar/answerreader.py
+++ b/libs/sidecar/src/filbertlift_sidecar/answerreader.py
@@ -201,7 +201,8 @@
         self._parser: Any = httptools.HttpResponseParser(self)
         self._request: answers.TargetRequest | None = None
         self._is_reused = False
-        # Whether all received bytes belong to answers to their requests.
+        # Whether the parser stands between two answers while no request is
+        # outstanding, and all bytes belonged to answers to their requests.
         self._is_clean = True
         self._events: list[Event] = []
         self._answered: Answered | None = None
@@ -284,7 +285,7 @@
         """A part of the body arrived."""
         self._pending_bytes = 0
         answer = self._answer
-        if answer.owner is not Owner.OUTSTANDING:
+        if self._request is None or answer.owner is not Owner.OUTSTANDING:
             self._skipped_bytes += len(data)
             return
         if answer.is_streaming:
@@ -320,15 +321,19 @@
             ),
             self._is_reused,
         )
-        answer.length = _parse_content_length(headers_by_name)
-        if request.is_head or answer.status in _BODYLESS_STATUSES:
-            answer.length = 0
+        declared_length = _parse_content_length(headers_by_name)
+        is_bodyless = request.is_head or answer.status in _BODYLESS_STATUSES
+        answer.length = 0 if is_bodyless else declared_length
         is_chunked = "transfer-encoding" in headers_by_name
         is_framed = is_chunked or answer.length is not None
         answer.position = (
             Position.FRAMED_BODY if is_framed else Position.UNFRAMED_BODY
         )
         answer.keep_alive_s = _parse_keep_alive(headers_by_name)
+        if request.is_head and answer.owner is Owner.OUTSTANDING:
+            # The parser waits for the body that such an answer leaves out.
+            self._is_clean = self._is_clean and declared_length == 0
+            self._end_answer(Ending.FRAMING)
 
     def _end_answer(
         self, ending: Ending, reason: str = "", message: str = ""
--- a/libs/sidecar/tests/test_answerreader.py
+++ b/libs/sidecar/tests/test_answerreader.py
@@ -61,8 +61,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-def make_request(request_id):
-    return answers.TargetRequest(request_id, b"", False, False)
+def make_request(request_id, is_head=False):
+    return answers.TargetRequest(request_id, b"", is_head, False)
 
 
 def make_bytes(start, ending):
@@ -163,6 +163,59 @@
     )
 
 
+BODYLESS = {
+    "HEAD": (True, b"200 OK"),
+    "204": (False, b"204 No Content"),
+    "304": (False, b"304 Not Modified"),
+}
+DECLARED = {
+    "no length": b"\r\n",
+    "length 0": b"Content-Length: 0\r\n\r\n",
+    "length": LENGTH,
+    "chunks": CHUNKED,
+}
+
+
+@pytest.mark.parametrize("size", [1, 1000])
+@pytest.mark.parametrize("declared", DECLARED)
+@pytest.mark.parametrize(("is_head", "status"), BODYLESS.values(), ids=BODYLESS)
+def test_an_answer_without_a_body_ends_with_its_head(
+    is_head, status, declared, size
+):
+    """Guards against a request that waits for a body that never comes."""
+    reader = answerreader.AnswerReader(DIALECT)
+    reader.start(make_request("r-1", is_head))
+    data = b"HTTP/1.1 %b\r\nX-Id: r-1\r\n%b" % (status, DECLARED[declared])
+    events = feed(reader, data, size)
+    assert [event.answer.body for event in events] == [b""]
+    # After HEAD the parser waits for the body or the end of the connection.
+    assert events[0].is_reusable == (not is_head or declared == "length 0")
+    assert not reader.has_request
+
+
+@pytest.mark.parametrize(("is_head", "status"), BODYLESS.values(), ids=BODYLESS)
+def test_bytes_after_an_answer_without_a_body_rule_out_reuse(is_head, status):
+    """Guards against a body that is read as the answer to another request."""
+    reader = answerreader.AnswerReader(DIALECT)
+    reader.start(make_request("r-1", is_head))
+    head = b"HTTP/1.1 %b\r\nX-Id: r-1\r\n" % status
+    events = reader.feed(head + LENGTH + b"hello")
+    assert [event.answer.body for event in events] == [b""]
+    assert not events[0].is_reusable
+
+
+@pytest.mark.parametrize(
+    "declared", [LENGTH, CHUNKED], ids=["length", "chunks"]
+)
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_a_late_answer_without_a_body_is_skipped(status, declared):
+    """Guards against an answer that is read as the body of another."""
+    reader = make_reader(True)
+    late = b"HTTP/1.1 %b\r\nX-Id: r-0\r\n%b" % (status, declared)
+    events = reader.feed(late + DUE)
+    assert [event.answer.body for event in events] == [b"due"]
+
+
 class Target:
     """A target's end of one connection.
 
