Pass large failures of targets on with their status

Cause: a failure with a body over the buffer of 2 MiB was reported without its head, with status 0, and its run was stopped. The entry relayed this for calls that it could not repeat.

Change: the keeper streams failures like answers, and does not count them as samples of the service time. The entry passes such a stream on where it would relay a failure; where it repeats the call or waits for another attempt, it withdraws the attempt.

Result: test_a_large_failure_is_passed_on_with_its_status, test_a_large_failure_of_an_idempotent_call_is_repeated and test_a_large_failure_does_not_replace_the_answer_of_a_hedge failed before and pass now, with the other tests of the keeper, the flow and the call machine.

--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -211,7 +211,7 @@
         self._note_answer(attempt, answer, end, now)
         if self.is_over:
             return
-        if answer.more:
+        if answer.more and end is AttemptEnd.ANSWERED:
             self._begin_stream(attempt, answer)
             return
         self._attempts.remove(attempt)
@@ -220,6 +220,7 @@
             self._note_refusal(attempt, answer)
         if self._attempts and end is not AttemptEnd.ANSWERED:
             # The other attempt may still be answered.
+            self._withdraw(attempt)
             return
         if attempt.is_hedge and end is AttemptEnd.ANSWERED:
             # The first target was slower than the hedge, or does not answer
@@ -229,15 +230,20 @@
         progress = outcomes.CallProgress(
             self.route, self.sent, self.refusals, self.deadline - now
         )
-        self._take_step(outcomes.decide_step(end, progress), end, answer, now)
+        step = outcomes.decide_step(end, progress)
+        self._take_step(step, attempt, answer, now)
 
     def _take_step(
-        self, step: Step, end: AttemptEnd, answer: frames.Answer, now: float
+        self, step: Step, attempt: Attempt, answer: frames.Answer, now: float
     ) -> None:
         if step is Step.REPEAT and not self.entry.budget.take(
             self.service, now
         ):
-            step = outcomes.decide_without_repeat(end)
+            step = outcomes.decide_without_repeat(AttemptEnd(answer.end))
+        if step is Step.RELAY and answer.more:
+            self._begin_stream(attempt, answer)
+            return
+        self._withdraw(attempt)
         if step is Step.RELAY:
             self._relay(answer)
         elif step is Step.FAIL:
@@ -445,10 +451,15 @@
 
     def _withdraw_others(self, kept: Attempt | None) -> None:
         for attempt in self._attempts:
-            if attempt is kept or attempt.is_over:
-                continue
-            attempt.is_over = True
-            attempt.view.note_end()
-            if attempt.sent is not None:
-                attempt.sent.withdraw()
+            if attempt is not kept:
+                self._withdraw(attempt)
         self._attempts = [kept] if kept is not None else []
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Ends an attempt that has not ended, without a result."""
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        attempt.view.note_end()
+        if attempt.sent is not None:
+            attempt.sent.withdraw()
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -39,6 +39,8 @@
 AnswerFunction = Callable[[frames.Answer], None]
 ChunkFunction = Callable[[frames.Chunk], None]
 AttemptEnd = outcomes.AttemptEnd
+# Ends of attempts whose answers are passed on, also before they are complete.
+STREAMED_ENDS: Final = (AttemptEnd.ANSWERED, AttemptEnd.FAILED)
 
 
 @attrs.frozen
@@ -68,6 +70,7 @@
         is_backlogged: returns whether streamed data waits to be passed on.
         target_id: target that it was sent to, empty before that.
         is_streaming: whether the head of a streamed answer was reported.
+        is_failure: whether the streamed answer is a failure.
         is_paused: whether its caller does not take more of the answer now.
         connection: connection that carries it while it runs.
         run_timer: stops the run when it is overdue.
@@ -81,6 +84,7 @@
     is_over: bool = False
     target_id: str = ""
     is_streaming: bool = False
+    is_failure: bool = False
     is_paused: bool = False
     connection: exchange.TargetConnection | None = None
     run_timer: Any = None
@@ -261,12 +265,13 @@
         self, kept: KeptCall, answer: answers.TargetAnswer
     ) -> None:
         end, reason = classify_answer(answer, self.pool.dialect)
-        if answer.more and end is not AttemptEnd.ANSWERED:
+        if answer.more and end not in STREAMED_ENDS:
             self._stop_run(kept)
             self._report(kept, end, reason)
             return
         if answer.more:
             kept.is_streaming = True
+            kept.is_failure = end is AttemptEnd.FAILED
             self._send_answer(kept, end, reason, answer, 0.0)
             return
         now = self.reactor.seconds()
@@ -288,7 +293,7 @@
 
     def _receive_data(self, kept: KeptCall, data: bytes, is_last: bool) -> None:
         if is_last:
-            self._end_run(kept, True)
+            self._end_run(kept, not kept.is_failure)
         if not kept.is_over:
             kept.is_over = is_last
             kept.on_chunk(frames.Chunk(kept.call.stream, data, is_last, False))
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -271,6 +271,44 @@
     assert "finished" not in reply.sent
 
 
+def test_a_large_failure_of_an_unsafe_call_is_streamed(unsafe_bench):
+    """Guards against a failure that reaches the caller without its status."""
+    reply = unsafe_bench.call()
+    unsafe_bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    unsafe_bench.remote.calls[0][3](frames.Chunk(0, b"rt", True, False))
+    assert reply.sent == [(500, 4, b"part"), "finished"]
+    assert not unsafe_bench.entry.flows
+
+
+def test_a_large_failure_of_an_idempotent_call_is_repeated(bench):
+    """Guards against a failure that is passed on though another may answer."""
+    reply = bench.call()
+    bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    assert bench.remote.cancelled == [0]
+    assert len(bench.remote.calls) == 2 and reply.sent == []
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200, body=b"whole")
+    assert [(status, body) for status, _, body in reply.sent] == [
+        (200, b"whole")
+    ]
+
+
+def test_a_large_failure_does_not_replace_the_answer_of_a_hedge(bench):
+    """Guards against a failure that is passed on though another may answer."""
+    reply = bench.call()
+    while len(bench.remote.calls) < 2:
+        bench.clock.advance(0.01)
+    bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    assert bench.remote.cancelled == [0] and reply.sent == []
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200, body=b"whole")
+    assert reply.sent[0][0] == 200
+
+
 def test_a_stream_waits_until_its_caller_has_taken_what_it_has(bench):
     """Guards against an answer without end that fills the memory of its entry.
 
--- a/libs/sidecar/tests/test_keeper.py
+++ b/libs/sidecar/tests/test_keeper.py
@@ -82,6 +82,7 @@
             eventlog.EventLog(self.clock.seconds, lambda _data: True),
         )
         self.answers = []
+        self.chunks = []
         self.send_heartbeat(1, slots=slots)
 
     def send_heartbeat(
@@ -98,7 +99,7 @@
         return self.keeper.submit(
             make_call(number, **changes),
             self.answers.append,
-            lambda _chunk: None,
+            self.chunks.append,
         )
 
     @property
@@ -206,6 +207,21 @@
     assert bench.ends == [(1, end)]
 
 
+def test_a_large_failure_is_passed_on_with_its_status(bench):
+    """Guards against a failure without a status, and against a cut body."""
+    bench.submit(1)
+    _request, events, connection = bench.pool.sent[0]
+    events.on_answer(attrs.evolve(make_answer(500), length=9, more=True))
+    assert bench.ends == [(1, AttemptEnd.FAILED)]
+    assert (bench.answers[0].status, bench.answers[0].body) == (500, b"body")
+    assert bench.answers[0].more and not connection.is_dropped
+    events.on_data(b"parts", False)
+    events.on_data(b"", True)
+    assert b"".join(chunk.body for chunk in bench.chunks) == b"parts"
+    assert bench.chunks[-1].is_last and not bench.chunks[-1].failed
+    assert bench.keeper.in_flight == 0
+
+
 @pytest.mark.parametrize(
     ("is_sent", "end"),
     [(True, AttemptEnd.BROKEN), (False, AttemptEnd.NOT_RUN)],
