Apply new limits of callers to connections that are open

Cause: a connection kept the limits of head and body that were in force when it was opened, however long its caller kept it.

Change: a request is read under the limits in force when it begins, and keeps them until its end.

Result: test_new_limits_apply_to_connections_that_are_open failed before and passes now, as do the other tests of the server.

--- a/libs/transport/src/filbertlift_transport/requests.py
+++ b/libs/transport/src/filbertlift_transport/requests.py
@@ -1,5 +1,6 @@
 """Parses received bytes into HTTP requests and enforces limits."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -45,7 +46,8 @@
 class RequestReader:
     """State of one connection's parser.
 
-    `feed` returns complete requests.
+    `feed` returns complete requests. The limits in force when a request begins
+    hold until its end.
 
     Attributes:
         upload: body of the current request, if it is passed on in parts.
@@ -55,7 +57,7 @@
             the body.
     """
 
-    _limits: http.Limits
+    _find_limits: Callable[[], http.Limits]
     _peer: model.Address
     _transport: Any
     upload: uploads.Upload | None = None
@@ -70,6 +72,7 @@
     _body: list[bytes] = attrs.field(factory=list)
     _body_bytes: int = 0
     _parser: Any = None
+    _limits: http.Limits = attrs.field(init=False)
 
     def feed(self, data: bytes) -> list[ParsedRequest]:
         """Returns the requests completed by these bytes.
@@ -105,6 +108,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
+        self._limits = self._find_limits()
         self.is_in_head = True
         self._url = b""
         self._headers = {}
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -70,7 +70,7 @@
         """Sets up the connection, or refuses it over the limit."""
         peer = self.transport.getPeer()
         self._reader = requests.RequestReader(
-            self._server.limits,
+            lambda: self._server.limits,
             model.Address(peer.host, peer.port),
             self.transport,
         )
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -70,6 +70,35 @@
     )
 
 
+def test_new_limits_apply_to_connections_that_are_open() -> None:
+    """Guards against a kept connection with the limits of its opening."""
+    fixture = ServerFixture()
+    receive, transport = fixture.connect()
+    receive(GET)
+    fixture.replies[0].send(200, JSON, b"{}")
+    wider = attrs.evolve(LIMITS, head_bytes=3_000, body_bytes=5_000)
+    fixture.server.limits = wider
+    head = b"POST /a HTTP/1.1\r\nX-A: " + b"a" * 2_000
+    receive(head + b"\r\nContent-Length: 4000\r\n\r\n" + b"b" * 4_000)
+    assert len(fixture.requests) == 2
+    fixture.replies[1].send(200, JSON, b"{}")
+    fixture.server.limits = LIMITS
+    transport.clear()
+    receive(b"POST /a HTTP/1.1\r\nContent-Length: 4000\r\n\r\n")
+    assert transport.value().startswith(b"HTTP/1.1 413 ")
+
+
+def test_new_limits_do_not_apply_to_a_request_in_progress() -> None:
+    """Guards against a refusal of what was allowed when it began."""
+    fixture = ServerFixture()
+    receive, _transport = fixture.connect()
+    receive(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    receive(b"3e8\r\n" + b"a" * 1_000 + b"\r\n")
+    fixture.server.limits = attrs.evolve(LIMITS, body_bytes=1_100)
+    receive(b"1f4\r\n" + b"a" * 500 + b"\r\n0\r\n\r\n")
+    assert [len(request.body) for request in fixture.requests] == [1_500]
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     """Guards against a response to the wrong request."""
     fixture = ServerFixture()
