End streamed answers at the timeout of their route

Cause: once the head of a streamed answer was passed on, the call went on until the deadline of its caller. The keeper stops such a run 1 s after the route's timeout without reporting it, so the stream of a call with a longer deadline only stalled after that.

Change: a streamed answer breaks off at the deadline of the call, which is the route's timeout or the caller's deadline, whichever comes first.

Result: test_a_streamed_answer_ends_at_the_routes_timeout failed before and passes now, with the other tests of libs/sidecar.

--- a/libs/sidecar/src/filbertlift_sidecar/entry.py
+++ b/libs/sidecar/src/filbertlift_sidecar/entry.py
@@ -180,7 +180,6 @@
                 arrived_at + min(caller_wait_s, route.timeout_s),
                 self.last_answer_at,
             ),
-            min(arrived_at + caller_wait_s, self.last_answer_at),
             self.configuration.version,
             waited_s,
         ).start()
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -64,7 +64,6 @@
         headers: headers for the target.
         started_at: when the call arrived, in seconds.
         deadline: when it is answered in any case, in seconds.
-        caller_deadline: when its caller stops waiting, in seconds.
         version: version of the configuration that routed it.
         waited_s: how long its caller had waited before, in earlier attempts, in
             seconds.
@@ -81,7 +80,6 @@
     headers: frames.Headers
     started_at: float
     deadline: float
-    caller_deadline: float
     version: int
     waited_s: float = 0.0
     sent: int = 0
@@ -106,7 +104,6 @@
 
     def limit(self, deadline: float) -> None:
         """Ends the call by a time in seconds, if it would end later."""
-        self.caller_deadline = min(self.caller_deadline, deadline)
         if self.is_over or self.deadline <= deadline:
             return
         self.deadline = deadline
@@ -399,12 +396,6 @@
         if self.is_over:
             return
         if self._is_streaming:
-            left_s = self.caller_deadline - self._now()
-            if left_s > 0:
-                self._timer = self.entry.reactor.callLater(
-                    left_s, self._time_out
-                )
-                return
             self._end("cut-at-deadline", 0)
             self.reply.abort()
             return
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -231,6 +231,19 @@
     assert bench.remote.cancelled
 
 
+def test_a_streamed_answer_ends_at_the_routes_timeout(bench):
+    """Guards against a call that goes on as long as its caller waits."""
+    reply = bench.call(**{"x-deadline": "5000"})
+    bench.remote.answer(0, AttemptEnd.ANSWERED, status=200, more=True)
+    bench.clock.advance(0.9)
+    bench.remote.calls[0][3](frames.Chunk(0, b"x", False, False))
+    assert not reply.is_aborted
+    bench.clock.advance(0.1)
+    assert reply.is_aborted and "finished" not in reply.sent
+    assert bench.remote.cancelled == [0]
+    assert not bench.entry.flows
+
+
 def test_a_call_is_withdrawn_when_its_caller_leaves(bench):
     reply = bench.call()
     reply.on_gone()
