Apply a changed service when the settings are reloaded

Cause: reload took over the grace period and the interval of heartbeats only, so that calls of the host went on in the name of its former service.

Change: reload sets the service in the settings and at the entry.

Result: test_a_reload_applies_the_service_of_the_host failed before and passes now; test_a_reload_keeps_the_addresses_of_a_running_node, which passes on both, says what stays.

--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -256,10 +256,12 @@
         self._log.log("node.reload", changed=",".join(changed))
         self.settings = attrs.evolve(
             self.settings,
+            service=settings.service,
             grace_s=settings.grace_s,
             beat_interval_s=settings.beat_interval_s,
         )
         self._target.beat_interval_s = settings.beat_interval_s
+        self.entry.caller_service = settings.service
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the node for operators."""
--- /dev/null
+++ b/libs/sidecar/tests/test_node.py
@@ -0,0 +1,75 @@
+"""Tests of a node's settings while it runs, without a network."""
+
+import random
+
+import attrs
+from twisted.internet import testing
+
+from filbertlift_core import model
+from filbertlift_sidecar import answers
+from filbertlift_sidecar import eventlog
+from filbertlift_sidecar import metrics
+from filbertlift_sidecar import node as nodes
+from filbertlift_sidecar import rejections
+from filbertlift_sidecar import settings as node_settings
+
+DIALECT = answers.TargetDialect(
+    "X-Id", "X-Mark", "X-Not-Run", "X-Instance", "X-Deadline", "X-Caller"
+)
+ADDRESS = model.Address("127.0.0.1", 8080)
+SETTINGS = node_settings.NodeSettings(
+    name="n",
+    place=model.Place("north", "n-1"),
+    service="a",
+    target=ADDRESS,
+    outbound=ADDRESS,
+    ready=ADDRESS,
+    control=ADDRESS,
+    peers=ADDRESS,
+    metrics=ADDRESS,
+    store=ADDRESS,
+    beat_interval_s=1.0,
+    grace_s=6.0,
+    link_kbps=1000,
+    repeat_ratio=0.1,
+    repeat_slack=10.0,
+    repeat_window_s=10.0,
+)
+
+
+def make_node():
+    reactor = testing.MemoryReactorClock()
+    log = eventlog.EventLog(reactor.seconds, lambda _data: True)
+    adapter = nodes.Adapter(
+        DIALECT,
+        lambda _request: None,
+        lambda _data: None,
+        "config",
+        lambda _path: True,
+    )
+    return nodes.Node(
+        reactor,
+        SETTINGS,
+        adapter,
+        None,
+        log,
+        metrics.NodeMetrics.create(),
+        rejections.Rejections(log, lambda _event: None),
+        random.Random(1),
+    )
+
+
+def test_a_reload_applies_the_service_of_the_host():
+    """Guards against calls in the name of a service that has moved away."""
+    node = make_node()
+    node.reload(attrs.evolve(SETTINGS, service="b"))
+    assert node.entry.caller_service == "b"
+    assert node.dump()["settings"]["service"] == "b"
+
+
+def test_a_reload_keeps_the_addresses_of_a_running_node():
+    """Guards against settings that name a port that the node has not opened."""
+    node = make_node()
+    other = model.Address("127.0.0.1", 9090)
+    node.reload(attrs.evolve(SETTINGS, outbound=other, grace_s=9.0))
+    assert node.settings == attrs.evolve(SETTINGS, grace_s=9.0)
