--- a/libs/sidecar/tests/test_answerreader.py
+++ b/libs/sidecar/tests/test_answerreader.py
@@ -216,6 +216,18 @@
     assert [event.answer.body for event in events] == [b"due"]
 
 
+@pytest.mark.parametrize("is_reused", [False, True], ids=["first", "reused"])
+def test_nothing_is_read_after_a_switch_of_protocols(is_reused):
+    """Guards against bytes of another protocol that are read as an answer."""
+    reader = make_reader(is_reused)
+    switch = (
+        b"HTTP/1.1 101 Switching Protocols\r\nX-Id: r-1\r\n"
+        b"Connection: Upgrade\r\nUpgrade: other\r\n\r\n"
+    )
+    events = reader.feed(switch + DUE)
+    assert [type(event) for event in events] == [answerreader.Lost]
+
+
 class Target:
     """A target's end of one connection.
 
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -70,6 +70,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: %d" % len(GET), b"Transfer-Encoding: chunked"]
+)
+def test_the_body_of_an_upgrade_is_not_read_as_a_request(
+    framing: bytes,
+) -> None:
+    """Guards against a request that is hidden in the body of another."""
+    fixture = ServerFixture()
+    receive, transport = fixture.connect()
+    receive(
+        b"POST /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2\r\n"
+        + framing
+        + b"\r\n\r\n"
+        + GET
+    )
+    assert fixture.requests == []
+    assert transport.value().startswith(b"HTTP/1.1 400 ")
+
+
 def test_new_limits_apply_to_connections_that_are_open() -> None:
     """Guards against a kept connection with the limits of its opening."""
     fixture = ServerFixture()
