Spend less time on each answer of a target

Cause: the state machine copied its last event, looked for a refusal in every answer and read enumeration members for each header.

Change: the event is made once, a refusal is looked for only in answers without an id, and a flag says whether the head is complete.

All tests of test_answerreader.py and test_exchange.py pass.

--- a/libs/sidecar/src/filbertlift_sidecar/answerreader.py
+++ b/libs/sidecar/src/filbertlift_sidecar/answerreader.py
@@ -153,6 +153,7 @@
 
     Attributes:
         position: how much of it has been received.
+        has_head: whether the head of a final answer is complete.
         owner: which request it is for.
         status: HTTP status.
         headers: headers, without those of framing once the head is complete.
@@ -165,6 +166,7 @@
     """
 
     position: Position = Position.NOTHING
+    has_head: bool = False
     owner: Owner = Owner.UNKNOWN
     status: int = 0
     headers: list[tuple[str, str]] = attrs.field(factory=list)
@@ -175,11 +177,6 @@
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
 
-    @property
-    def has_head(self) -> bool:
-        """Whether the head of a final answer is complete."""
-        return self.owner is not Owner.UNKNOWN
-
     def make_answer(self, more: bool) -> answers.TargetAnswer:
         """Returns the head and the buffered part of the body."""
         body = b"".join(self.parts)
@@ -201,11 +198,13 @@
         self._parser: Any = httptools.HttpResponseParser(self)
         self._request: answers.TargetRequest | None = None
         self._is_reused = False
-        # Whether the parser stands between two answers while no request is
-        # outstanding, and all bytes belonged to answers to their requests.
-        self._is_clean = True
+        # Whether the connection can carry another request: the target keeps it
+        # open, the parser has read every answer to its end, and no bytes came
+        # beside the answers that were due.
+        self._is_reusable = True
         self._events: list[Event] = []
-        self._answered: Answered | None = None
+        # The answer that ended a request, until it is reported.
+        self._due_answer: _PartialAnswer | None = None
         self._answer = _PartialAnswer()
         # Bytes received since the last complete head or part of a body.
         self._pending_bytes = 0
@@ -236,7 +235,7 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._is_clean = False
+            self._is_reusable = False
             self._end_answer(Ending.FAULT, "malformed", str(error))
         # The parser keeps an incomplete line, which may have no end.
         head_bytes = max(self._answer.head_bytes, self._pending_bytes)
@@ -250,7 +249,7 @@
 
     def close(self, is_orderly: bool, message: str) -> list[Event]:
         """Returns the events of the end of the connection."""
-        self._is_clean = False
+        self._is_reusable = False
         ending = Ending.CLOSE if is_orderly else Ending.RESET
         self._end_answer(ending, "lost", message)
         return self._take_events()
@@ -260,7 +259,7 @@
     def on_message_begin(self) -> None:
         """An answer starts."""
         if self._request is None:
-            self._is_clean = False
+            self._is_reusable = False
         self._answer = _PartialAnswer(Position.HEAD)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -278,6 +277,7 @@
         if status < 200 or self._request is None:
             return
         self._pending_bytes = 0
+        self._answer.has_head = True
         self._answer.status = status
         self._read_head(self._answer, self._request)
 
@@ -313,13 +313,12 @@
             for name, value in answer.headers
             if name.lower() not in http.FRAMING_HEADERS
         ]
+        answered_id = headers_by_name.get(self._dialect.request_id.lower())
+        is_refusal = answered_id is None and answers.states_not_run(
+            answer.status, answer.headers, self._dialect
+        )
         answer.owner = find_owner(
-            headers_by_name.get(self._dialect.request_id.lower()),
-            request,
-            answers.states_not_run(
-                answer.status, answer.headers, self._dialect
-            ),
-            self._is_reused,
+            answered_id, request, is_refusal, self._is_reused
         )
         declared_length = _parse_content_length(headers_by_name)
         is_bodyless = request.is_head or answer.status in _BODYLESS_STATUSES
@@ -332,7 +331,7 @@
         answer.keep_alive_s = _parse_keep_alive(headers_by_name)
         if request.is_head and answer.owner is Owner.OUTSTANDING:
             # The parser waits for the body that such an answer leaves out.
-            self._is_clean = self._is_clean and declared_length == 0
+            self._is_reusable = self._is_reusable and declared_length == 0
             self._end_answer(Ending.FRAMING)
 
     def _end_answer(
@@ -349,24 +348,23 @@
             return
         if outcome is Outcome.SKIPPED:
             if answer.owner is Owner.OTHER:
-                self._is_clean = False
+                self._is_reusable = False
             self._answer = _PartialAnswer()
             return
         self._request = None
         self._is_reused = True
-        is_streamed = answer.is_streaming
-        self._answered = Answered(
-            None if is_streamed else answer.make_answer(more=False),
-            ending is Ending.FRAMING and self._parser.should_keep_alive(),
-            answer.keep_alive_s,
-        )
+        self._due_answer = answer
+        if ending is not Ending.FRAMING or not self._parser.should_keep_alive():
+            self._is_reusable = False
 
     def _take_events(self) -> list[Event]:
         events, self._events = self._events, []
-        answered, self._answered = self._answered, None
-        if answered is not None:
-            is_reusable = answered.is_reusable and self._is_clean
-            events.append(attrs.evolve(answered, is_reusable=is_reusable))
+        answer, self._due_answer = self._due_answer, None
+        if answer is not None:
+            whole = None if answer.is_streaming else answer.make_answer(False)
+            events.append(
+                Answered(whole, self._is_reusable, answer.keep_alive_s)
+            )
         return events
 
 
