--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -64,7 +64,6 @@
         headers: headers for the target.
         started_at: when the call arrived, in seconds.
         deadline: when it is answered in any case, in seconds.
-        caller_deadline: when its caller stops waiting, in seconds.
         version: version of the configuration that routed it.
         waited_s: how long its caller had waited before, in earlier attempts, in
             seconds.
@@ -81,7 +80,6 @@
     headers: frames.Headers
     started_at: float
     deadline: float
-    caller_deadline: float
     version: int
     waited_s: float = 0.0
     sent: int = 0
@@ -106,7 +104,6 @@
 
     def limit(self, deadline: float) -> None:
         """Ends the call by a time in seconds, if it would end later."""
-        self.caller_deadline = min(self.caller_deadline, deadline)
         if self.is_over or self.deadline <= deadline:
             return
         self.deadline = deadline
@@ -211,7 +208,7 @@
         self._note_answer(attempt, answer, end, now)
         if self.is_over:
             return
-        if answer.more:
+        if answer.more and end is AttemptEnd.ANSWERED:
             self._begin_stream(attempt, answer)
             return
         self._attempts.remove(attempt)
@@ -220,6 +217,7 @@
             self._note_refusal(attempt, answer)
         if self._attempts and end is not AttemptEnd.ANSWERED:
             # The other attempt may still be answered.
+            self._withdraw(attempt)
             return
         if attempt.is_hedge and end is AttemptEnd.ANSWERED:
             # The first target was slower than the hedge, or does not answer
@@ -229,15 +227,20 @@
         progress = outcomes.CallProgress(
             self.route, self.sent, self.refusals, self.deadline - now
         )
-        self._take_step(outcomes.decide_step(end, progress), end, answer, now)
+        step = outcomes.decide_step(end, progress)
+        self._take_step(step, attempt, answer, now)
 
     def _take_step(
-        self, step: Step, end: AttemptEnd, answer: frames.Answer, now: float
+        self, step: Step, attempt: Attempt, answer: frames.Answer, now: float
     ) -> None:
         if step is Step.REPEAT and not self.entry.budget.take(
             self.service, now
         ):
-            step = outcomes.decide_without_repeat(end)
+            step = outcomes.decide_without_repeat(AttemptEnd(answer.end))
+        if step is Step.RELAY and answer.more:
+            self._begin_stream(attempt, answer)
+            return
+        self._withdraw(attempt)
         if step is Step.RELAY:
             self._relay(answer)
         elif step is Step.FAIL:
@@ -400,12 +403,6 @@
         if self.is_over:
             return
         if self._is_streaming:
-            left_s = self.caller_deadline - self._now()
-            if left_s > 0:
-                self._timer = self.entry.reactor.callLater(
-                    left_s, self._time_out
-                )
-                return
             self._end("cut-at-deadline", 0)
             self.reply.abort()
             return
@@ -452,10 +449,15 @@
 
     def _withdraw_others(self, kept: Attempt | None) -> None:
         for attempt in self._attempts:
-            if attempt is kept or attempt.is_over:
-                continue
-            attempt.is_over = True
-            attempt.view.note_end()
-            if attempt.sent is not None:
-                attempt.sent.withdraw()
+            if attempt is not kept:
+                self._withdraw(attempt)
         self._attempts = [kept] if kept is not None else []
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Ends an attempt that has not ended, without a result."""
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        attempt.view.note_end()
+        if attempt.sent is not None:
+            attempt.sent.withdraw()
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -244,6 +244,19 @@
     assert [sent[0] for sent in reply.sent] == [200]
 
 
+def test_a_streamed_answer_ends_at_the_routes_timeout(bench):
+    """Guards against a call that goes on as long as its caller waits."""
+    reply = bench.call(**{"x-deadline": "5000"})
+    bench.remote.answer(0, AttemptEnd.ANSWERED, status=200, more=True)
+    bench.clock.advance(0.9)
+    bench.remote.calls[0][3](frames.Chunk(0, b"x", False, False))
+    assert not reply.is_aborted
+    bench.clock.advance(0.1)
+    assert reply.is_aborted and "finished" not in reply.sent
+    assert bench.remote.cancelled == [0]
+    assert not bench.entry.flows
+
+
 def test_a_call_is_withdrawn_when_its_caller_leaves(bench):
     reply = bench.call()
     reply.on_gone()
@@ -284,6 +297,44 @@
     assert "finished" not in reply.sent
 
 
+def test_a_large_failure_of_an_unsafe_call_is_streamed(unsafe_bench):
+    """Guards against a failure that reaches the caller without its status."""
+    reply = unsafe_bench.call()
+    unsafe_bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    unsafe_bench.remote.calls[0][3](frames.Chunk(0, b"rt", True, False))
+    assert reply.sent == [(500, 4, b"part"), "finished"]
+    assert not unsafe_bench.entry.flows
+
+
+def test_a_large_failure_of_an_idempotent_call_is_repeated(bench):
+    """Guards against a failure that is passed on though another may answer."""
+    reply = bench.call()
+    bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    assert bench.remote.cancelled == [0]
+    assert len(bench.remote.calls) == 2 and reply.sent == []
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200, body=b"whole")
+    assert [(status, body) for status, _, body in reply.sent] == [
+        (200, b"whole")
+    ]
+
+
+def test_a_large_failure_does_not_replace_the_answer_of_a_hedge(bench):
+    """Guards against a failure that is passed on though another may answer."""
+    reply = bench.call()
+    while len(bench.remote.calls) < 2:
+        bench.clock.advance(0.01)
+    bench.remote.answer(
+        0, AttemptEnd.FAILED, status=500, body=b"pa", length=4, more=True
+    )
+    assert bench.remote.cancelled == [0] and reply.sent == []
+    bench.remote.answer(1, AttemptEnd.ANSWERED, status=200, body=b"whole")
+    assert reply.sent[0][0] == 200
+
+
 def test_a_stream_waits_until_its_caller_has_taken_what_it_has(bench):
     """Guards against an answer without end that fills the memory of its entry.
 
