Answer requests that wait behind another one on a connection

Cause: a reply that closes its connection, in a stop, dropped the whole requests that had been read behind it. A request with Expect: 100-continue behind one that was being answered never got its status 100, or got it before the response to the first.

Change: the server closes a connection only after the last request that it has read, and only that response says so. Status 100 is sent once no response is due before it.

--- a/libs/transport/src/filbertlift_transport/reply.py
+++ b/libs/transport/src/filbertlift_transport/reply.py
@@ -19,6 +19,10 @@
     transport: Any
     output: outputs.Output
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether a whole request waits behind the current one."""
+
     def call_soon(self, function: Callable[[], None]) -> None:
         """Calls the function after the current reactor iteration."""
 
@@ -46,6 +50,7 @@
     _keep: bool
     on_gone: Callable[[], None] | None = None
     on_drained: Callable[[], None] | None = None
+    _is_last: bool = False
     _is_started: bool = False
     _is_over: bool = False
     _is_chunked: bool = False
@@ -79,7 +84,7 @@
         if self._is_head or status in BODYLESS_STATUSES:
             body = b""
         self._connection.output.write(head + body)
-        self._end(self._keep)
+        self._end()
 
     def start(
         self, status: int, headers: Iterable[http.Header], length: int | None
@@ -134,7 +139,8 @@
             return
         ends_chunks = self._is_chunked and not self._is_bodyless
         self._write(b"0\r\n\r\n" if ends_chunks else b"")
-        self._end(self._keep)
+        self._decide_close()
+        self._end()
 
     def abort(self) -> None:
         """Aborts the connection, so the response is not taken as complete."""
@@ -152,12 +158,16 @@
             self.on_gone()
 
     def close_after(self) -> None:
-        """Closes the connection after this response."""
-        self._keep = False
+        """Closes the connection after this response.
+
+        Requests that wait behind it are answered before.
+        """
+        self._is_last = True
 
     def _make_head(
         self, status: int, headers: Iterable[http.Header], framing: str
     ) -> bytes:
+        self._decide_close()
         if not self._keep:
             framing += "Connection: close\r\n"
         elif self._is_http_1_0:
@@ -175,6 +185,10 @@
         if not self._is_over:
             self._write(b"")
 
-    def _end(self, keep: bool) -> None:
+    def _decide_close(self) -> None:
+        if self._is_last and not self._connection.has_pending:
+            self._keep = False
+
+    def _end(self) -> None:
         self._is_over = True
-        self._connection.end_reply(self, keep)
+        self._connection.end_reply(self, self._keep)
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -90,11 +90,8 @@
             return
         if completed or self._phase != previous_phase or self._reader.upload:
             self._waiting_since = self._server.read_time()
-        if self._reader.wants_continue and self._reply is None:
-            self._reader.wants_continue = False
-            self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        for parsed in completed:
-            self._pending.append(parsed)
+        self._pending.extend(completed)
+        self._send_continue()
         self._serve_next()
 
     def connectionLost(  # noqa: N802
@@ -124,10 +121,11 @@
             upload.resume()
             self._is_refused = True
             keep = False
-        if not keep or self._server.is_stopping:
+        if not keep:
             self._close()
             return
         self._waiting_since = self._server.read_time()
+        self._send_continue()
         if self._pending:
             self._server.reactor.callLater(0, self._serve_next)
 
@@ -168,6 +166,11 @@
         elif now - self._full_since >= self._server.limits.idle_s:
             self.transport.abortConnection()
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether a whole request waits behind the current one."""
+        return bool(self._pending) and not self._is_closing
+
     @property
     def is_receiving(self) -> bool:
         """Whether a request has arrived in part."""
@@ -201,8 +204,10 @@
             connection=self,
             is_head=parsed.request.method == "HEAD",
             is_http_1_0=parsed.is_http_1_0,
-            keep=parsed.keep and not self._server.is_stopping,
+            keep=parsed.keep,
         )
+        if self._server.is_stopping:
+            reply.close_after()
         self._reply = reply
         self._upload = parsed.request.upload
         try:
@@ -212,6 +217,13 @@
             logs.log_event("http.handler-failed", error=repr(error))
             reply.abort()
 
+    def _send_continue(self) -> None:
+        """Lets the caller send a body, unless responses come before it."""
+        if not self._reader.wants_continue or self.is_answering:
+            return
+        self._reader.wants_continue = False
+        self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _refuse(self, status: int, code: str, message: str) -> None:
         if self._reply is not None:
             # The response to an earlier request is still being sent, so no
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -412,3 +412,31 @@
     assert fixture.server.count_connections() == server.ConnectionCounts(
         2, 1, 1, 0
     )
+
+
+def test_pipelined_requests_are_answered_when_the_server_stops() -> None:
+    """Guards against a stop that drops requests behind a current one."""
+    fixture = ServerFixture()
+    receive, transport = fixture.connect()
+    receive(3 * GET)
+    fixture.server.stop_accepting()
+    for index in range(3):
+        fixture.replies[index].close_after()
+        fixture.replies[index].send(200, (), b"")
+        fixture.clock.advance(0)
+    assert transport.value().count(b"HTTP/1.1 200 OK") == 3
+    assert transport.value().count(b"Connection: close") == 1
+    assert transport.disconnecting
+
+
+def test_a_request_behind_another_gets_its_100_after_the_response() -> None:
+    """Guards against a caller that waits for 100 until its request fails."""
+    fixture = ServerFixture()
+    receive, transport = fixture.connect()
+    expect = b"POST /b HTTP/1.1\r\nExpect: 100-continue\r\n"
+    receive(GET + expect + b"Content-Length: 1\r\n\r\n")
+    assert transport.value() == b""
+    fixture.replies[0].send(200, (), b"ok")
+    assert transport.value().endswith(b"okHTTP/1.1 100 Continue\r\n\r\n")
+    receive(b"x")
+    assert fixture.requests[1].body == b"x"
