Close connections of callers without losing requests and answers

Cause: a stop closed its port, and idle connections, without looking at what the kernel held: connections not yet accepted and requests not yet read were lost when the event loop was late, as with idle timeouts after a suspension. A socket that was closed with unread bytes was reset, and the reset discarded the part of the last answer that the caller had not received yet. Requests that had arrived in part were cut off. The process ended 0.15 s after the ports closed, whatever was under way; connections that were to be aborted were not, since the reactor stopped before, and ended in order.

Change: the port accepts what waits before it closes. An idle connection with unread bytes is read, not closed. Every connection closes its sending side first and drops what still arrives, for 5 s at most, and 256 at once unless the server stops. Later in a stop, requests in part are refused with 503. The stop then waits until callers have received everything, until 0.5 s before the end of the grace period as before.

--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -237,6 +237,8 @@
                 self._is_idle,
                 self._is_sent,
                 self._stop_accepting,
+                self._refuse_partial,
+                self._is_settled,
                 self._close,
             ),
             self.settings.grace_s,
@@ -418,6 +420,15 @@
         for part in self._servers:
             part.stop_accepting()
 
+    def _refuse_partial(self) -> None:
+        for part in self._servers:
+            part.refuse_partial()
+
+    def _is_settled(self) -> bool:
+        return self._is_idle() and all(
+            part.is_settled for part in self._servers
+        )
+
     def _close(self) -> None:
         counts = server.ConnectionCounts(0, 0, 0, 0)
         if self._caller_server is not None:
@@ -443,7 +454,10 @@
         self._uplink.close()
         self._remote.close()
         self._listener.close()
-        self.stopped.callback(None)
+        # Connections are aborted in the next iteration. If the reactor stopped
+        # before, the kernel would close them in order, and an answer that was
+        # cut off might look complete.
+        self._reactor.callLater(0, self.stopped.callback, None)
 
 
 def _make_limits(limits: configuration.ClientLimits) -> http.Limits:
--- a/libs/sidecar/src/filbertlift_sidecar/shutdown.py
+++ b/libs/sidecar/src/filbertlift_sidecar/shutdown.py
@@ -27,8 +27,8 @@
 # slower takes 0.5 s to end its process.
 CLOSE_MARGIN_S: Final = 0.5
 CHECK_INTERVAL_S: Final = 0.05
-# Time for callers to read the end of their answers before the node closes their
-# connections, in seconds.
+# Time after the ports are closed in which requests that are on their way still
+# arrive and are answered, in seconds.
 LINGER_S: Final = 0.15
 
 
@@ -42,6 +42,9 @@
         is_idle: returns whether no call is in progress.
         is_sent: returns whether callers and peers have taken all answers.
         stop_accepting: closes the ports, and connections without a call.
+        refuse_partial: refuses requests that have arrived in part.
+        is_settled: returns whether no connection has a request or bytes that
+            the other side has not received.
         close: ends everything that is left.
     """
 
@@ -50,6 +53,8 @@
     is_idle: Callable[[], bool]
     is_sent: Callable[[], bool]
     stop_accepting: Callable[[], None]
+    refuse_partial: Callable[[], None]
+    is_settled: Callable[[], bool]
     close: Callable[[], None]
 
 
@@ -88,16 +93,36 @@
         self._check()
 
     def _check(self) -> None:
-        late_s = self.reactor.seconds() - self._check_at
-        self.max_late_s = max(self.max_late_s, late_s)
-        if self.actions.is_idle() and self.actions.is_sent():
-            # The last answers may still be in the kernel's send buffer.
-            self.actions.stop_accepting()
-            self.reactor.callLater(LINGER_S, self.actions.close)
+        self._note_delay()
+        is_over = self.actions.is_idle() and self.actions.is_sent()
+        left_s = self._close_at - self.reactor.seconds()
+        if not is_over and left_s > LINGER_S:
+            self._check_later(CHECK_INTERVAL_S, self._check)
             return
-        close_at = self._started_at + self.grace_s - CLOSE_MARGIN_S
-        if self.reactor.seconds() >= close_at:
+        self.actions.stop_accepting()
+        linger_s = max(0.0, min(LINGER_S, left_s))
+        self._check_later(linger_s, self._refuse_partial)
+
+    def _refuse_partial(self) -> None:
+        self.actions.refuse_partial()
+        self._check_settled()
+
+    def _check_settled(self) -> None:
+        self._note_delay()
+        is_late = self.reactor.seconds() >= self._close_at
+        if is_late or self.actions.is_settled():
             self.actions.close()
             return
-        self._check_at = self.reactor.seconds() + CHECK_INTERVAL_S
-        self.reactor.callLater(CHECK_INTERVAL_S, self._check)
+        self._check_later(CHECK_INTERVAL_S, self._check_settled)
+
+    @property
+    def _close_at(self) -> float:
+        return self._started_at + self.grace_s - CLOSE_MARGIN_S
+
+    def _check_later(self, delay_s: float, check: Callable[[], None]) -> None:
+        self._check_at = self.reactor.seconds() + delay_s
+        self.reactor.callLater(delay_s, check)
+
+    def _note_delay(self) -> None:
+        late_s = self.reactor.seconds() - self._check_at
+        self.max_late_s = max(self.max_late_s, late_s)
--- a/libs/sidecar/tests/test_shutdown.py
+++ b/libs/sidecar/tests/test_shutdown.py
@@ -12,7 +12,9 @@
 class Bench:
     """A node that stops, and the times of the steps."""
 
-    def __init__(self, grace_s=GRACE_S, idle_at=0.0, sent_at=0.0):
+    def __init__(
+        self, grace_s=GRACE_S, idle_at=0.0, sent_at=0.0, settled_at=0.0
+    ):
         self.clock = task.Clock()
         self.times = {}
         self.actions = shutdown.StopActions(
@@ -21,6 +23,8 @@
             lambda: self.clock.seconds() >= idle_at,
             lambda: self.clock.seconds() >= sent_at,
             lambda: self.note("stop_accepting"),
+            lambda: self.note("refuse_partial"),
+            lambda: self.clock.seconds() >= settled_at,
             lambda: self.note("close"),
         )
         self.stop = shutdown.PlannedStop(self.clock, self.actions, grace_s)
@@ -38,6 +42,7 @@
         "refuse_peers",
         "refuse_callers",
         "stop_accepting",
+        "refuse_partial",
         "close",
     ]
     assert times["close"] == pytest.approx(
@@ -67,7 +72,27 @@
 
 def test_a_caller_that_does_not_read_delays_the_end_only_so_long():
     times = Bench(sent_at=1e9).times
-    assert "stop_accepting" not in times
+    assert times["stop_accepting"] == pytest.approx(
+        GRACE_S - shutdown.CLOSE_MARGIN_S - shutdown.LINGER_S, abs=0.1
+    )
+    assert times["close"] == pytest.approx(
+        GRACE_S - shutdown.CLOSE_MARGIN_S, abs=0.1
+    )
+
+
+def test_connections_with_bytes_under_way_delay_the_end():
+    """Guards against a stop that discards bytes that callers have not received.
+
+    After the ports are closed, requests in part get their refusals, and peers
+    and callers receive the last answers.
+    """
+    times = Bench(settled_at=4.0).times
+    assert times["stop_accepting"] < 3.0
+    assert 4.0 <= times["close"] < 4.0 + 2 * shutdown.CHECK_INTERVAL_S
+
+
+def test_connections_that_never_settle_delay_the_end_only_so_long():
+    times = Bench(settled_at=1e9).times
     assert times["close"] == pytest.approx(
         GRACE_S - shutdown.CLOSE_MARGIN_S, abs=0.1
     )
--- a/libs/transport/src/filbertlift_transport/outputs.py
+++ b/libs/transport/src/filbertlift_transport/outputs.py
@@ -1,6 +1,10 @@
 """Buffered output to a connection with few wake-ups of the process."""
 
 from collections.abc import Callable
+import fcntl
+import socket
+import struct
+import termios
 from typing import Any
 
 from twisted.internet import interfaces
@@ -8,6 +12,10 @@
 
 # A write that follows another one within this time is batched.
 BATCH_INTERVAL_S = 0.001
+# Limit for received bytes that are discarded when a connection closes.
+MAX_DISCARDED_BYTES = 1024 * 1024
+_READ_BYTES = 65_536
+_C_INT = struct.Struct("i")
 
 
 @implementer(interfaces.IPullProducer)
@@ -35,6 +43,30 @@
         # A pull producer is called each time the transport has sent all of its
         # data.
         transport.registerProducer(self, False)
+        self._is_registered = True
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the other side's kernel has received all written bytes."""
+        if self.is_full:
+            return False
+        handle = self._get_open_socket()
+        if handle is None:
+            return True
+        # Includes the end of the sending side, as one more byte.
+        result = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(_C_INT.size))
+        return _C_INT.unpack(result)[0] == 0
+
+    @property
+    def has_received(self) -> bool:
+        """Whether the kernel holds received bytes that were not read yet."""
+        handle = self._get_open_socket()
+        if handle is None:
+            return False
+        try:
+            return bool(handle.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def write(self, data: bytes) -> None:
         """Sends bytes, or buffers them while the output is full."""
@@ -53,14 +85,23 @@
 
     def close(self) -> None:
         """Closes the connection after all written bytes are sent."""
-        self._transport.unregisterProducer()
+        self._unregister()
         self._transport.loseConnection()
 
     def close_sending(self) -> None:
         """Closes the sending side after all written bytes are sent."""
-        self._transport.unregisterProducer()
+        self._unregister()
         self._transport.loseWriteConnection()
 
+    def end(self) -> None:
+        """Closes without waiting; the kernel still sends what it has accepted.
+
+        A socket that is closed with unread bytes is reset, which discards the
+        bytes that the other side has not received. So they are read before.
+        """
+        self._discard_received()
+        self.close()
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Called when all data is sent, and when the producer is registered."""
         if self.is_full:
@@ -70,6 +111,27 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Ignores the end of the connection, which the protocol handles."""
 
+    def _unregister(self) -> None:
+        if self._is_registered:
+            self._is_registered = False
+            self._transport.unregisterProducer()
+
+    def _get_open_socket(self) -> Any:
+        handle = self._socket
+        return None if handle is None or handle.fileno() < 0 else handle
+
+    def _discard_received(self) -> None:
+        handle = self._get_open_socket()
+        discarded = 0
+        while handle is not None and discarded < MAX_DISCARDED_BYTES:
+            try:
+                data = handle.recv(_READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            discarded += len(data)
+
 
 class BatchingOutput:
     """Batches the writes of one reactor iteration; limits buffered bytes.
@@ -92,6 +154,11 @@
         """Whether the socket currently accepts no more bytes."""
         return self._output.is_full
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the other side's kernel has received all written bytes."""
+        return not self._buffer and self._output.is_sent
+
     def write(self, data: bytes) -> bool:
         """Sends or buffers bytes; returns whether the limit is respected."""
         now = self._reactor.seconds()
@@ -124,3 +191,9 @@
         self.flush()
         self.clear()
         self._output.close()
+
+    def end(self) -> None:
+        """Passes the buffered bytes to the kernel and closes at once."""
+        self.flush()
+        self.clear()
+        self._output.end()
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -11,6 +11,7 @@
 from filbertlift_core import logs
 from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import listening
 from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
@@ -22,8 +23,11 @@
 Reply = replies.Reply
 Handler = Callable[[http.Request, replies.Reply], None]
 SWEEP_INTERVAL_S = 1.0
-# Time for a refused caller to read the response and close the connection.
+# Time for a caller to close its side of a connection after the last response.
 LINGER_S = 5.0
+# Limit for connections that wait for that, unless the server stops. Further
+# ones are closed at once, so that they do not use up the connections of others.
+MAX_LINGERING = 256
 _JSON = (http.Header("Content-Type", "application/json"),)
 
 
@@ -63,7 +67,11 @@
         self._waiting_since = server.read_time()
         self._full_since: float | None = None
         self._is_closing = False
+        # Whether the sending side is closed and received bytes are dropped.
+        self._is_lingering = False
+        # Whether the rest of a request may arrive after its response.
         self._is_refused = False
+        self._may_linger = True
         self._is_reading = True
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -76,7 +84,10 @@
         )
         self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
-            self._refuse(503, "FL-HTTP-FULL", "too many connections")
+            # Connections over the limit are closed at once.
+            self._refuse(
+                503, "FL-HTTP-FULL", "too many connections", lingers=False
+            )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles received bytes."""
@@ -99,6 +110,9 @@
     ) -> None:
         """Ends the current reply, which notifies its handler."""
         self._is_closing = True
+        if self._is_lingering:
+            self._is_lingering = False
+            self._server.lingering -= 1
         self._pending.clear()
         self._server.remove(self)
         reply, self._reply = self._reply, None
@@ -141,21 +155,40 @@
                 self.transport.abortConnection()
         elif self._is_closing:
             # The caller does not read the last response or does not close.
-            if elapsed >= (LINGER_S if self._is_refused else limits.idle_s):
+            if elapsed >= (LINGER_S if self.output.is_sent else limits.idle_s):
                 self.transport.abortConnection()
         elif self._reader.is_in_head and elapsed >= limits.head_s:
             self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
         elif self._reader.is_in_body and elapsed >= limits.body_s:
             self._refuse(408, "FL-HTTP-SLOW", "request body took too long")
         elif self._is_idle and elapsed >= limits.idle_s:
-            self._close()
+            self._close_idle()
 
     def stop_when_idle(self) -> None:
         """Closes now if idle, else after the current request."""
+        if self._is_closing:
+            return
         if self._reply is not None:
             self._reply.close_after()
         elif self._is_idle and not self._pending:
-            self._close()
+            self._close_idle()
+
+    def refuse_partial(self) -> None:
+        """Refuses a request that has arrived in part."""
+        if self._reply is None and self.is_receiving and not self._pending:
+            self._refuse(503, "FL-HTTP-STOPPING", "server is stopping")
+
+    def end(self) -> None:
+        """Closes the connection at once.
+
+        A response that the kernel has accepted as a whole is still delivered;
+        one that is incomplete is aborted, so it is not taken as complete.
+        """
+        self.refuse_partial()
+        if self.is_answering or self.output.is_full:
+            self.transport.abortConnection()
+            return
+        self.output.end()
 
     def _check_unread_response(self, now: float) -> None:
         """Closes the connection of a caller that does not read its response."""
@@ -174,13 +207,23 @@
     @property
     def is_receiving(self) -> bool:
         """Whether a request has arrived in part."""
-        return not self._is_idle
+        return not self._is_idle and not self._is_closing
 
     @property
     def is_answering(self) -> bool:
         """Whether a request is not answered yet."""
         return self._reply is not None or bool(self._pending)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether closing now might cut off a request or a response."""
+        return (
+            self.is_answering
+            or self.is_receiving
+            or self._is_refused
+            or not self.output.is_sent
+        )
+
     @property
     def _is_idle(self) -> bool:
         return self._phase == (False, False)
@@ -224,7 +267,9 @@
         self._reader.wants_continue = False
         self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _refuse(self, status: int, code: str, message: str) -> None:
+    def _refuse(
+        self, status: int, code: str, message: str, lingers: bool = True
+    ) -> None:
         if self._reply is not None:
             # The response to an earlier request is still being sent, so no
             # other data may be sent before it ends.
@@ -235,19 +280,30 @@
             connection=self, is_head=False, is_http_1_0=False, keep=False
         )
         self._reply = reply
-        # Connections over the limit are closed at once.
-        self._is_refused = status != 503
+        self._is_refused = lingers
+        self._may_linger = lingers
         reply.send(status, _JSON, http.make_error_body(code, message))
 
+    def _close_idle(self) -> None:
+        # Timers of a late event loop run before sockets are read, so a request
+        # may have arrived in time.
+        if not self.output.has_received:
+            self._close()
+
     def _close(self) -> None:
         self._is_closing = True
         self._waiting_since = self._server.read_time()
-        if self._is_refused:
-            # Closing while the caller still sends makes its kernel discard
-            # the response, so the data is read and dropped for LINGER_S.
-            self.output.close_sending()
+        if not self._may_linger or not self._server.may_linger:
+            self.output.close()
             return
-        self.output.close()
+        # Closing while bytes of the caller may arrive makes the kernel discard
+        # what the caller has not received, so they are read and dropped.
+        self._is_lingering = True
+        self._server.lingering += 1
+        if not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
+        self.output.close_sending()
 
     def _report_drained(self) -> None:
         self._full_since = None
@@ -262,6 +318,7 @@
     Attributes:
         limits: limits on sizes, counts and times.
         is_stopping: whether connections close after the current response.
+        lingering: number of connections that wait for their callers to close.
     """
 
     def __init__(self, reactor: Any, handle: Handler, limits: Limits) -> None:
@@ -269,6 +326,7 @@
         self.handle = handle
         self.limits = limits
         self.is_stopping = False
+        self.lingering = 0
         self.read_time: Callable[[], float] = reactor.seconds
         self._connections: set[ServerConnection] = set()
         self._factory = protocol.Factory.forProtocol(
@@ -341,17 +399,31 @@
         self.is_stopping = True
         for connection in list(self._connections):
             connection.stop_when_idle()
-        return self._port.stopListening() if self._port else None
+        return self._stop_listening()
+
+    def refuse_partial(self) -> None:
+        """Refuses requests that have arrived in part."""
+        for connection in list(self._connections):
+            connection.refuse_partial()
+
+    @property
+    def may_linger(self) -> bool:
+        """Whether one more connection may wait for its caller to close."""
+        return self.is_stopping or self.lingering < MAX_LINGERING
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no connection has a request or unsent bytes."""
+        return not any(connection.is_open for connection in self._connections)
 
     def close(self) -> None:
         """Closes every connection at once."""
         self.is_stopping = True
         if self._sweep_timer.active():
             self._sweep_timer.cancel()
-        if self._port is not None:
-            self._port.stopListening()
+        self._stop_listening()
         for connection in list(self._connections):
-            connection.transport.abortConnection()
+            connection.end()
 
     def add(self, connection: ServerConnection) -> bool:
         """Adds a new connection; returns whether it is within the limit."""
@@ -362,6 +434,17 @@
         """Removes a closed connection."""
         self._connections.discard(connection)
 
+    def _stop_listening(self) -> Any:
+        """Closes the port after accepting what waits in the kernel's queue.
+
+        The kernel resets connections that wait there when the port is closed.
+        """
+        port, self._port = self._port, None
+        if port is None:
+            return None
+        self.reactor.callLater(0, listening.accept_waiting, port)
+        return port.stopListening()
+
     def _sweep(self) -> None:
         self._sweep_timer = self.reactor.callLater(
             SWEEP_INTERVAL_S, self._sweep
--- /dev/null
+++ b/libs/transport/tests/test_closing.py
@@ -0,0 +1,143 @@
+"""Tests of the HTTP server's closing of sockets, on loopback connections."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import select
+import socket
+import time
+
+import pytest
+from twisted.internet import selectreactor
+
+from filbertlift_core import model
+from filbertlift_transport import http
+from filbertlift_transport import server
+
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+BODY = bytes(300_000)
+TIMEOUT_S = 10.0
+
+
+class ClosingFixture:
+    """A server on a reactor that the test runs step by step."""
+
+    def __init__(self) -> None:
+        self.reactor = selectreactor.SelectReactor()
+        self.body = b""
+        self.requests: list[http.Request] = []
+        self.server = server.HttpServer.listen(
+            self.reactor, model.Address("127.0.0.1", 0), self._handle
+        )
+        self.address = self.server.address
+        self._sockets: list[socket.socket] = []
+
+    def _handle(self, request: http.Request, reply: server.Reply) -> None:
+        self.requests.append(request)
+        reply.send(200, (), self.body)
+
+    def connect(
+        self, data: bytes, receive_bytes: int = 65_536
+    ) -> socket.socket:
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        caller.connect((self.address.host, self.address.port))
+        caller.sendall(data)
+        self._sockets.append(caller)
+        return caller
+
+    def step(self) -> None:
+        self.reactor.runUntilCurrent()
+        self.reactor.doIteration(0)
+
+    def run_until(self, is_over: Callable[[], bool]) -> None:
+        until = time.monotonic() + TIMEOUT_S
+        while not is_over():
+            assert time.monotonic() < until
+            self.step()
+
+    def read_all(self, caller: socket.socket) -> bytes:
+        """Returns what the caller receives; raises if it is reset."""
+        received = bytearray()
+        until = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < until:
+            self.step()
+            if not select.select([caller], [], [], 0.001)[0]:
+                continue
+            data = caller.recv(65_536)
+            if not data:
+                return bytes(received)
+            received += data
+        raise AssertionError("connection was not closed")
+
+    def close(self) -> None:
+        self.server.close()
+        for caller in self._sockets:
+            caller.close()
+        for _ in range(3):
+            self.step()
+        self.reactor.removeAll()
+
+
+@pytest.fixture(name="fixture")
+def make_fixture() -> Iterator[ClosingFixture]:
+    fixture = ClosingFixture()
+    yield fixture
+    fixture.close()
+
+
+def test_requests_that_wait_in_the_kernel_are_answered_at_a_stop(
+    fixture: ClosingFixture,
+) -> None:
+    """Guards against a late event loop that stops before it reads."""
+    kept = fixture.connect(GET)
+    fixture.run_until(lambda: len(fixture.requests) == 1)
+    kept.recv(65_536)
+    kept.sendall(GET)
+    waiting = [fixture.connect(GET) for _ in range(150)]
+    fixture.server.stop_accepting()
+    for caller in (kept, *waiting):
+        answer = fixture.read_all(caller)
+        assert answer.startswith(b"HTTP/1.1 200 OK")
+        assert b"Connection: close" in answer
+
+
+@pytest.mark.parametrize("behind", [b"\r\n", GET])
+def test_bytes_behind_the_last_request_do_not_discard_its_answer(
+    fixture: ClosingFixture, behind: bytes
+) -> None:
+    """Guards against a reset while the caller still reads the answer."""
+    fixture.body = BODY
+    last = GET.replace(b"Host", b"Connection: close\r\nHost")
+    caller = fixture.connect(last, receive_bytes=4_096)
+    fixture.run_until(lambda: len(fixture.requests) == 1)
+    caller.sendall(behind)
+    for _ in range(10):
+        fixture.step()
+    assert fixture.read_all(caller).endswith(BODY)
+
+
+def test_answers_in_the_kernel_are_delivered_after_the_end(
+    fixture: ClosingFixture,
+) -> None:
+    """Guards against a server that resets a caller who reads slowly."""
+    fixture.body = BODY
+    caller = fixture.connect(GET, receive_bytes=4_096)
+    fixture.run_until(lambda: len(fixture.requests) == 1)
+    fixture.run_until(lambda: not fixture.server.has_unsent)
+    assert not fixture.server.is_settled
+    caller.sendall(GET)
+    fixture.server.close()
+    assert fixture.read_all(caller).endswith(BODY)
+
+
+def test_a_request_that_arrived_in_time_is_not_taken_for_idleness(
+    fixture: ClosingFixture,
+) -> None:
+    """Guards against idle timeouts that are checked before sockets are read."""
+    caller = fixture.connect(b"")
+    fixture.run_until(lambda: fixture.server.connections == 1)
+    caller.sendall(GET)
+    (connection,) = fixture.server._connections
+    connection.check_timeouts(fixture.reactor.seconds() + 1_000)
+    fixture.run_until(lambda: len(fixture.requests) == 1)
+    assert caller.recv(65_536).startswith(b"HTTP/1.1 200 OK")
--- a/libs/transport/tests/test_outputs.py
+++ b/libs/transport/tests/test_outputs.py
@@ -1,5 +1,9 @@
 """Tests of the outputs of a connection."""
 
+import contextlib
+import select
+import socket
+
 import pytest
 from twisted.internet import task
 from twisted.internet import testing
@@ -86,3 +90,33 @@
     transport.socket.capacity = 100
     output._output.resumeProducing()
     assert transport.socket.sent == b"a123456789"
+
+
+def test_bytes_that_the_other_side_has_not_received_are_not_sent() -> None:
+    """Guards against a close while an answer is only in this kernel."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+    near.setblocking(False)
+    transport = SocketTransport(0)
+    transport.socket = near
+    output = outputs.Output(transport, lambda: None)
+    assert output.is_sent
+    output.write(bytes(8_000_000))
+    transport.clear()
+    output.is_full = False
+    assert not output.is_sent
+    far.settimeout(0.5)
+    with contextlib.suppress(TimeoutError):
+        while far.recv(65_536):
+            pass
+    assert output.is_sent
+    far.sendall(b"x")
+    assert select.select([near], [], [], 5.0)[0]
+    assert output.has_received
+    output.end()
+    assert not output.has_received
+    near.close()
+    assert output.is_sent and not output.has_received
+    far.close()
+    listener.close()
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -234,11 +234,12 @@
     receive, busy = fixture.connect()
     receive(GET)
     fixture.server.stop_accepting()
-    assert (idle.disconnecting, busy.disconnecting) == (True, False)
+    assert (idle.is_write_closed, busy.is_write_closed) == (True, False)
     fixture.replies[0].send(200, (), b"done")
     assert b"Connection: close" in busy.value()
     assert busy.value().endswith(b"done")
-    assert busy.disconnecting
+    assert busy.is_write_closed
+    assert not (idle.disconnecting or busy.disconnecting)
 
 
 def test_stopping_still_answers_a_partly_received_request() -> None:
@@ -246,11 +247,11 @@
     receive, transport = (fixture := ServerFixture()).connect()
     receive(GET[:10])
     fixture.server.stop_accepting()
-    assert not transport.disconnecting
+    assert not (transport.disconnecting or transport.is_write_closed)
     receive(GET[10:])
     fixture.replies[0].send(503, (), b"")
     assert b"Connection: close" in transport.value()
-    assert transport.disconnecting
+    assert transport.is_write_closed
 
 
 def test_a_caller_that_reads_nothing_is_closed() -> None:
@@ -330,7 +331,7 @@
     fixture.replies[0].send(200, (), b"body")
     assert b"Content-Length: 4" in transport.value()
     assert transport.value().endswith(b"\r\n\r\n")
-    assert transport.disconnecting
+    assert transport.is_write_closed
 
 
 def test_line_breaks_in_header_values_are_rejected() -> None:
@@ -414,6 +415,24 @@
     )
 
 
+def test_a_request_in_part_is_refused_at_the_end_of_a_stop() -> None:
+    """Guards against a stop that resets a caller who is still sending."""
+    fixture = ServerFixture()
+    receive, transport = fixture.connect()
+    receive(GET[:10])
+    fixture.server.stop_accepting()
+    assert not fixture.server.is_settled
+    fixture.server.refuse_partial()
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b"Connection: close" in transport.value()
+    assert transport.is_write_closed and not transport.disconnecting
+    fixture.server.stop_accepting()
+    assert fixture.server.lingering == 1
+    assert not fixture.server.is_settled
+    fixture.last.connectionLost()
+    assert fixture.server.is_settled and fixture.requests == []
+
+
 def test_pipelined_requests_are_answered_when_the_server_stops() -> None:
     """Guards against a stop that drops requests behind a current one."""
     fixture = ServerFixture()
@@ -426,7 +445,7 @@
         fixture.clock.advance(0)
     assert transport.value().count(b"HTTP/1.1 200 OK") == 3
     assert transport.value().count(b"Connection: close") == 1
-    assert transport.disconnecting
+    assert transport.is_write_closed
 
 
 def test_a_request_behind_another_gets_its_100_after_the_response() -> None:
@@ -440,3 +459,25 @@
     assert transport.value().endswith(b"okHTTP/1.1 100 Continue\r\n\r\n")
     receive(b"x")
     assert fixture.requests[1].body == b"x"
+
+
+def test_connections_that_linger_are_limited() -> None:
+    """Guards against callers that take all connections by not closing them."""
+    limits = attrs.evolve(LIMITS, connections=server.MAX_LINGERING + 1)
+    fixture = ServerFixture(limits)
+    transports = []
+    for _ in range(server.MAX_LINGERING + 1):
+        receive, transport = fixture.connect()
+        receive(GET)
+        fixture.replies[-1].close_after()
+        fixture.replies[-1].send(200, (), b"")
+        transports.append(transport)
+    assert all(item.is_write_closed for item in transports[:-1])
+    assert transports[-1].disconnecting
+    fixture.last.connectionLost()
+    assert fixture.server.lingering == server.MAX_LINGERING
+    receive, transport = fixture.connect()
+    receive(GET)
+    fixture.server.stop_accepting()
+    fixture.replies[-1].send(200, (), b"")
+    assert transport.is_write_closed and not transport.disconnecting
