Deliver what lies in the links of a node before it ends

Cause: a stop looked at the queue of the uplink but not at what the links and the kernel held behind it. The process ended with answers of its target under way, and the next byte of a peer, such as a withdrawal, made the kernel discard them. The entry then answered 502 for calls that had run.

Both tests failed with the sources as they were before, one of them for want of the new method.

--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -425,8 +425,11 @@
             part.refuse_partial()
 
     def _is_settled(self) -> bool:
-        return self._is_idle() and all(
-            part.is_settled for part in self._servers
+        return (
+            self._is_idle()
+            and all(part.is_settled for part in self._servers)
+            and self._remote.is_sent
+            and self._listener.is_sent
         )
 
     def _close(self) -> None:
--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -91,6 +91,11 @@
         """Whether the connection currently accepts no more bytes."""
         return self._output is not None and self._output.is_full
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the peer's kernel has received all sent messages."""
+        return self._output is None or self._output.is_sent
+
     def connect(self) -> None:
         """Dials the peer; messages are queued until the link is open."""
         assert self.address is not None
@@ -135,19 +140,33 @@
         self.outstanding -= 1
 
     def close(self, reason: str) -> None:
-        """Closes the link."""
+        """Closes the link; messages that the peer has not received are lost."""
         if self.is_closed:
             return
-        self.is_closed = True
-        self.is_up = False
-        if self._probe_timer is not None and self._probe_timer.active():
-            self._probe_timer.cancel()
+        self._mark_closed()
         if self.transport is not None:
             self.transport.abortConnection()
         elif self._connector is not None:
             self._connector.disconnect()
         self._events.on_down(self, reason)
 
+    def end(self, reason: str) -> None:
+        """Closes the link; the kernel still sends what it has accepted."""
+        if self._output is None:
+            self.close(reason)
+            return
+        if self.is_closed:
+            return
+        self._mark_closed()
+        self._output.end()
+        self._events.on_down(self, reason)
+
+    def _mark_closed(self) -> None:
+        self.is_closed = True
+        self.is_up = False
+        if self._probe_timer is not None and self._probe_timer.active():
+            self._probe_timer.cancel()
+
     # Twisted's protocol interface.
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -254,12 +273,17 @@
             interface=self._address.host,
         )
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the peers' kernels have received all sent messages."""
+        return all(link.is_sent for link in self.links)
+
     def close(self) -> None:
         """Stops accepting and closes the accepted links."""
         if self._port is not None:
             self._port.stopListening()
         for link in list(self.links):
-            link.close("node stops")
+            link.end("node stops")
 
     def _accept(self) -> PeerLink:
         link = PeerLink(self._reactor, self._events, None)
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -123,10 +123,15 @@
             if not link.outstanding and idle_s > peerlink.IDLE_LIMIT_S:
                 link.close(IDLE)
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the peers' kernels have received all sent messages."""
+        return all(link.is_sent for link in self.links.values())
+
     def close(self) -> None:
         """Closes all links."""
         for link in list(self.links.values()):
-            link.close(NODE_STOPS)
+            link.end(NODE_STOPS)
 
     def _receive(
         self, link: peerlink.PeerLink, message: frames.Message
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -252,3 +252,34 @@
     )
     assert link.is_closed and bench.answers == [head]
     assert bench.chunks == [frames.Chunk(remote_call.stream, b"", True, True)]
+
+
+def test_links_deliver_the_last_answers_of_a_node_that_stops(bench):
+    """Guards against a keeper that resets links with answers under way."""
+    bench.reactor.advance(1)
+    events = peerlink.LinkEvents(lambda *_: None, lambda *_: None, None)
+    listener = peerlink.LinkListener(bench.reactor, PEER, events)
+    listener.start()
+    link = bench.reactor.tcpServers[-1][1].buildProtocol(None)
+    link.makeConnection(testing.StringTransport())
+    answer = frames.Answer(1, AttemptEnd.ANSWERED, "ok", 200)
+    link.send(answer)
+    link.send(answer)
+    assert not listener.is_sent
+    listener.close()
+    sent = frames.FrameReader().feed(link.transport.value())
+    assert sent == [answer, answer]
+    assert link.transport.disconnecting and not link.transport.disconnected
+    assert link.is_closed and not listener.links
+
+
+def test_a_node_that_stops_closes_the_links_that_it_dialled_in_order(bench):
+    """Guards against a withdrawal that a keeper never receives."""
+    remote_call = bench.submit()
+    link = bench.open()
+    assert bench.calls.is_sent
+    bench.calls.cancel(remote_call)
+    bench.calls.close()
+    sent = frames.FrameReader().feed(link.transport.value())
+    assert sent[-1] == frames.Cancel(remote_call.stream)
+    assert link.transport.disconnecting and not link.transport.disconnected
