Play departures with the store away and their node killed in the soak

Cause: late heartbeats came only in target_return, with the store there.

Change: the step target_forget, drawn after the odd steps, so that a seed keeps all of its steps. Targets of the soak ask again after a refusal.

--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -29,6 +29,12 @@
 RETURN_DELAY_S: Final = 0.3
 # Time from the return of a target to its departure, in seconds.
 RETURNED_S: Final = 0.6
+# Time from the departure of a target to the end of its node, and from there to
+# its late heartbeat, in seconds.
+DEPARTED_S: Final = 0.7
+LATE_BEAT_S: Final = 2.0
+# Time for which that target serves longer than others, in seconds.
+FURTHER_S: Final = 6.0
 # Time for which a service has no weight, in seconds.
 UNWEIGHTED_S: Final = 6.0
 
@@ -311,6 +317,22 @@
             leaving_s + step.seconds / 2, host.target.deliver_heartbeats
         )
 
+    def _target_forget(self, host: deployment.Host, step: steps.Step) -> None:
+        """A target leaves with the store away, and its node is killed.
+
+        A heartbeat from before the departure arrives after the store is back.
+        """
+        if not host.target.is_ready or not self._can_take_down(host):
+            return
+        host.target.hold_heartbeats()
+        self._store_outage(host, step)
+        host.target.drain(False, FURTHER_S)
+        self._call_later(DEPARTED_S, self._kill_again, host)
+        self._call_later(
+            DEPARTED_S + LATE_BEAT_S + step.seconds / 2,
+            host.target.deliver_heartbeats,
+        )
+
     # The operator.
 
     def _publish(self, host: deployment.Host, step: steps.Step) -> None:
--- a/soak/src/filbertlift_soak/main.py
+++ b/soak/src/filbertlift_soak/main.py
@@ -22,6 +22,9 @@
     odd_steps: int = typer.Option(
         4, help="Further steps: odd entries and repeated refusals."
     ),
+    late_steps: int = typer.Option(
+        1, help="Further steps: departures with the store away."
+    ),
     hosts: int = typer.Option(9, help="Hosts, each with its own node."),
 ) -> None:
     """Injects faults under load and checks the guarantees.
@@ -36,7 +39,7 @@
             folder = pathlib.Path(tempfile.mkdtemp(prefix="filbertlift-soak-"))
             print(f"seed={number} steps={steps} logs={folder}", flush=True)
             problems = await world.run_world(
-                reactor, folder, number, steps, odd_steps, hosts
+                reactor, folder, number, steps, odd_steps, hosts, late_steps
             )
             for problem in problems:
                 print(f"problem: {problem}", flush=True)
--- a/soak/src/filbertlift_soak/steps.py
+++ b/soak/src/filbertlift_soak/steps.py
@@ -41,6 +41,8 @@
     "target_return": 3,
     "weights": 3,
 }
+# The same for steps that are drawn after those.
+LATE_WEIGHTS: Final = {"target_forget": 1}
 # Variants of the steps that have any.
 VARIANTS: Final = {
     "kill": ("", "again"),
@@ -48,6 +50,7 @@
     "store_cut": ("part", "silence"),
     "links_silent": ("both", "in", "out"),
     "weights": ("first", "last"),
+    "target_forget": ("busy", "reset", "silent"),
     "target_fault": ("shed", "error", "lose", "garble", "extra", "mute"),
 }
 MIN_DURATION_S: Final = 0.5
@@ -83,7 +86,11 @@
 
 
 def draw_steps(
-    rng: random.Random, count: int, odd_count: int, hosts: int
+    rng: random.Random,
+    count: int,
+    odd_count: int,
+    hosts: int,
+    late_count: int = 0,
 ) -> list[Step]:
     """Returns the steps of a run; the same seed yields the same steps.
 
@@ -92,6 +99,7 @@
         count: number of steps, which follow one another.
         odd_count: number of further steps in `ODD_WEIGHTS`, at any time.
         hosts: number of hosts.
+        late_count: number of further steps in `LATE_WEIGHTS`, at any time.
     """
     steps: list[Step] = []
     at_s = 0.0
@@ -99,12 +107,14 @@
     for name in names:
         at_s = round(at_s + rng.uniform(0.1, MAX_GAP_S), 2)
         steps.append(_draw_step(rng, name, at_s, hosts))
-    names = rng.choices(
-        list(ODD_WEIGHTS), list(ODD_WEIGHTS.values()), k=odd_count
-    )
-    for name in names:
-        odd_at_s = round(rng.uniform(0.0, at_s), 2)
-        steps.append(_draw_step(rng, name, odd_at_s, hosts))
+    for weights, number in (
+        (ODD_WEIGHTS, odd_count),
+        (LATE_WEIGHTS, late_count),
+    ):
+        names = rng.choices(list(weights), list(weights.values()), k=number)
+        for name in names:
+            odd_at_s = round(rng.uniform(0.0, at_s), 2)
+            steps.append(_draw_step(rng, name, odd_at_s, hosts))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/soak/src/filbertlift_soak/target.py
+++ b/soak/src/filbertlift_soak/target.py
@@ -123,6 +123,7 @@
     _refusals: Any = attrs.field(factory=weakref.WeakKeyDictionary)
     _last_id: str = ""
     _is_leaving: bool = False
+    _further_s: float = 0.0
     _incarnations: Any = attrs.field(factory=itertools.count)
 
     @property
@@ -147,6 +148,11 @@
             self._held_beats = []
             self._start(self._last_id)
 
+    def hold_heartbeats(self) -> None:
+        """Delays the heartbeats from now on, the first of them sent at once."""
+        self._held_beats = []
+        self._send_heartbeat()
+
     def deliver_heartbeats(self) -> None:
         """Lets the heartbeats that are on their way arrive."""
         held, self._held_beats = self._held_beats, None
@@ -183,16 +189,18 @@
             self._end_run(run)
         self._waiting.clear()
 
-    def drain(self, announce: bool) -> None:
+    def drain(self, announce: bool, further_s: float = 0.0) -> None:
         """Reports its departure, serves for a while and ends.
 
         Args:
             announce: whether it reports the state draining instead of sending a
                 departure notice.
+            further_s: time for which it serves longer than others, in seconds.
         """
         if self.record is None:
             return
         self._is_leaving = True
+        self._further_s = further_s
         if announce:
             self.record = attrs.evolve(
                 self.record, state=directory.TargetState.DRAINING
@@ -201,7 +209,9 @@
         else:
             self._send_departure(self.record)
         self.reactor.callLater(
-            ACK_TIMEOUT_S, self._end_incarnation, self.record.target_id
+            ACK_TIMEOUT_S + further_s,
+            self._end_incarnation,
+            self.record.target_id,
         )
 
     def _send_heartbeat(self) -> None:
@@ -244,11 +254,16 @@
 
         def end() -> None:
             pool.close()
-            if status == [200] and is_departure:
+            if status != [200]:
+                retry()
+            elif is_departure:
                 self._record_departure(record.target_id)
 
         def fail(_failure: client.ClientFailure) -> None:
             pool.close()
+            retry()
+
+        def retry() -> None:
             if is_departure and self._is_current(record.target_id):
                 self.reactor.callLater(REPORT_RETRY_S, repeat)
 
@@ -270,7 +285,9 @@
             return
         self.journal.departures[target_id] = self.reactor.seconds()
         self.reactor.callLater(
-            self.spec.drain_s + DRAIN_MARGIN_S, self._end_incarnation, target_id
+            self.spec.drain_s + DRAIN_MARGIN_S + self._further_s,
+            self._end_incarnation,
+            target_id,
         )
 
     def _is_current(self, target_id: str) -> bool:
--- a/soak/src/filbertlift_soak/world.py
+++ b/soak/src/filbertlift_soak/world.py
@@ -370,12 +370,13 @@
     step_count: int,
     odd_count: int,
     host_count: int,
+    late_count: int,
 ) -> "defer.Deferred[list[str]]":
     """Runs one seed; the result has one line for each broken guarantee."""
 
     async def run() -> list[str]:
         plan = steps.draw_steps(
-            random.Random(seed), step_count, odd_count, host_count
+            random.Random(seed), step_count, odd_count, host_count, late_count
         )
         world = World(reactor, folder, seed, host_count)
         try:
--- a/soak/tests/test_steps.py
+++ b/soak/tests/test_steps.py
@@ -20,9 +20,21 @@
     assert (rest, len(mixed)) == (plain, 44)
 
 
+def test_late_steps_leave_the_others_of_a_seed():
+    """Guards against listed seeds that no longer play the steps that failed."""
+    plain = steps.draw_steps(random.Random(7), 40, 4, 9)
+    mixed = steps.draw_steps(random.Random(7), 40, 4, 9, 3)
+    rest = [step for step in mixed if step.name not in steps.LATE_WEIGHTS]
+    assert (rest, len(mixed)) == (plain, 47)
+
+
 def test_every_step_has_a_method():
     """Guards against a step without a method that carries it out."""
-    for name in (*steps.WEIGHTS, *steps.ODD_WEIGHTS):
+    for name in (
+        *steps.WEIGHTS,
+        *steps.ODD_WEIGHTS,
+        *steps.LATE_WEIGHTS,
+    ):
         assert hasattr(faults.FaultInjector, f"_{name}")
 
 
