--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 from twisted.internet import task
+from twisted.python import failure
 
 from filbertlift_core import model
 from filbertlift_platform import store
@@ -156,6 +157,22 @@
     assert pool.requests[-1][4].is_over
 
 
+def test_an_answer_that_waits_to_be_read_goes_before_the_timeout(
+    platform_store, pool, clock
+):
+    """Guards against a store that counts as away since the node paused.
+
+    The loop runs the late timers first, then reads the answer.
+    """
+    results = []
+    platform_store.get("k").addBoth(results.append)
+    clock.callLater(
+        store.CALL_TIMEOUT_S + 0.1, pool.answer, 404, {"currentRev": 7}
+    )
+    clock.advance(2 * store.CALL_TIMEOUT_S)
+    assert len(results) == 1 and not isinstance(results[0], failure.Failure)
+
+
 def test_a_watch_on_a_silent_connection_ends_soon(platform_store, pool, clock):
     """Guards against versions that are late by the timeout of a watch."""
     done = platform_store.watch("k", 7, 1.0)
