Read what has arrived before an overdue run is stopped

Cause: as for calls at their entry; after a pause of the node a run that was overdue was stopped though its answer was waiting to be read. Change: it is stopped one iteration of the event loop later.

--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -341,7 +341,11 @@
         """Frees the slot of an overdue run, without reporting its end.
 
         The entry has answered the caller by then, unless it streams the answer.
+        Timers run before sockets are read, so the answer may wait there.
         """
+        kept.run_timer = self.reactor.callLater(0, self._give_up_run, kept)
+
+    def _give_up_run(self, kept: KeptCall) -> None:
         kept.is_over = True
         self._stop_run(kept)
 
--- a/libs/sidecar/tests/test_keeper.py
+++ b/libs/sidecar/tests/test_keeper.py
@@ -239,6 +239,16 @@
     assert len(bench.pool.sent) == 2
 
 
+def test_an_answer_that_waits_to_be_read_goes_before_the_end_of_a_run(bench):
+    """Guards against an answer that is dropped since the node paused."""
+    bench.submit(1, left_ms=300)
+    events = bench.pool.sent[0][1]
+    limit_s = 0.3 + keeper.RUN_GRACE_S
+    bench.clock.callLater(limit_s + 0.1, events.on_answer, make_answer())
+    bench.clock.advance(2 * limit_s)
+    assert bench.ends == [(1, AttemptEnd.ANSWERED)]
+
+
 def test_the_request_carries_its_deadline_and_its_target(bench):
     bench.submit(1, left_ms=300)
     data = bench.pool.sent[0][0].data
