Log faults of the event loop, and end a stop although a part fails to close

Cause: an exception in a callback of the event loop was written nowhere, and one while the parts of a node close would have kept its process until it was killed. Change: loop.fault, node.close-failed; each part is closed by itself.

--- a/libs/sidecar/src/filbertlift_sidecar/eventlog.py
+++ b/libs/sidecar/src/filbertlift_sidecar/eventlog.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable
 import os
 import time
+import traceback
 from typing import Any
 from typing import Final
 
 import attrs
+from twisted.python import log as twisted_log
 
 from filbertlift_core import logs
 
@@ -58,6 +60,7 @@
         """Makes standard output non-blocking and writes all events to it."""
         os.set_blocking(STDOUT, False)
         logs.set_writer(self.log)
+        twisted_log.addObserver(self._log_fault)
 
     def log(self, event: str, **fields: Any) -> None:
         """Writes an event of the node itself, without a rate limit."""
@@ -74,6 +77,15 @@
         """
         self._log_bounded(MIN_ROUTINE_TOKENS, event, fields)
 
+    def _log_fault(self, event: dict[str, Any]) -> None:
+        """Writes an exception that a callback of the event loop raised."""
+        reason = event.get("failure")
+        if not event.get("isError") or reason is None:
+            return
+        frames = traceback.extract_tb(reason.getTracebackObject())
+        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        self.log("loop.fault", error=repr(reason.value), place=place)
+
     def _log_bounded(
         self, min_tokens: float, event: str, fields: dict[str, Any]
     ) -> None:
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -486,17 +486,24 @@
             answering=counts.answering,
             unsent=counts.unsent,
         )
-        self._loop.stop()
-        self._versions.close()
-        self._registry.close()
-        self._replication.close()
-        self._gossip.close()
-        for part in self._servers:
-            part.close()
-        self._keeper.close()
-        self._uplink.close()
-        self._remote.close()
-        self._listener.close()
+        parts = (
+            self._versions,
+            self._registry,
+            self._replication,
+            self._gossip,
+            *self._servers,
+            self._keeper,
+            self._uplink,
+            self._remote,
+            self._listener,
+        )
+        for close in (self._loop.stop, *(part.close for part in parts)):
+            # A part that fails must not keep the others, and the process, from
+            # ending before the end of the grace period.
+            try:
+                close()
+            except Exception as error:
+                self._log.log("node.close-failed", error=repr(error))
         # Connections are aborted in the next iteration. If the reactor stopped
         # before, the kernel would close them in order, and an answer that was
         # cut off might look complete.
