Keep the margin of a late loop within the last sixth of the grace period

Cause: the margin grew to a third of the grace period. Change: the margin grows to a sixth of the grace period at most.

--- a/libs/sidecar/src/filbertlift_sidecar/shutdown.py
+++ b/libs/sidecar/src/filbertlift_sidecar/shutdown.py
@@ -25,8 +25,9 @@
 # Time for the last answers to be sent, in seconds, on top of the delay of a
 # late event loop.
 SEND_TIME_S: Final = 0.3
-# Share of the grace period that the margins may take on a late event loop.
-MAX_MARGIN_SHARE: Final = 1 / 3
+# Share of the grace period that the margin may take on a late event loop. A
+# larger one cuts calls that such a loop still answers at most times.
+MAX_MARGIN_SHARE: Final = 1 / 6
 # Time before the end of the grace period at which the node closes even if
 # callers have not taken their answers or calls of peers still run, in seconds.
 # The end of the process itself takes no time.
