Keep links whose receiver takes no bytes for some seconds

Cause: TCP_USER_TIMEOUT of 2.5 s also closes a connection whose peer answers but takes no bytes, as a process does that gets no processor time. With real processes: ten unsafe calls of 1 s, SIGTERM of their entry, which is suspended for 3.4 s: with answers of 60 KB and of 600 KB eight were answered with 502 (link lost), with 6 MB nine and one answer was cut. The new test reads the option of a socket; it failed with 2.5 s.

--- a/libs/sidecar/src/filbertlift_sidecar/peerlink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/peerlink.py
@@ -159,7 +159,12 @@
         if self.is_closed:
             self.transport.abortConnection()
             return
-        sockets.set_liveness(self.transport)
+        sockets.set_liveness(
+            self.transport,
+            sockets.ANSWERS_USER_TIMEOUT_MS
+            if self.address is None
+            else sockets.USER_TIMEOUT_MS,
+        )
         self.is_up = True
         self._heard_at = self._reactor.seconds()
         self._output = outputs.BatchingOutput(
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -1,5 +1,7 @@
 """Tests of links between nodes and the calls on them."""
 
+import socket
+
 import pytest
 from twisted.internet import error as twisted_errors
 from twisted.internet import testing
@@ -131,6 +133,23 @@
     assert bench.answers == [answer]
 
 
+def test_answers_wait_for_a_peer_that_pauses(bench):
+    """Guards against answers lost since their caller did not read for 3 s.
+
+    The kernel closes a connection after this time without bytes taken.
+    """
+    with socket.socket() as sock:
+        transport = testing.StringTransport()
+        transport.getHandle = lambda: sock
+        transport.setTcpNoDelay = lambda _is_on: None
+        accepted = peerlink.PeerLink(bench.reactor, None, None)
+        accepted.makeConnection(transport)
+        timeout_ms = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+    assert timeout_ms >= 3_000
+
+
 def test_a_silent_link_is_closed_when_its_calls_end_before(bench):
     """Guards against calls that time out on a silent link one by one."""
     link = None
