--- a/libs/mesh/src/filbertlift_mesh/reasons.py
+++ b/libs/mesh/src/filbertlift_mesh/reasons.py
@@ -15,6 +15,7 @@
 TARGET_REFUSED: Final = "target-refused"
 OTHER_TARGET: Final = "other-target"
 TIMEOUT: Final = "timeout"
+NO_MEMORY: Final = "no-memory"
 CALLER_GONE: Final = "caller-gone"
 # Prefix of the reasons that concern a link between nodes.
 LINK_PREFIX: Final = "link-"
--- a/libs/sidecar/src/filbertlift_sidecar/answers.py
+++ b/libs/sidecar/src/filbertlift_sidecar/answers.py
@@ -68,15 +68,17 @@
 
     Attributes:
         request_id: id that the answer must carry.
-        data: encoded head and body.
+        data: encoded head, and a small body.
         is_head: whether this is a HEAD request, whose answer has no body.
         needs_fresh: whether it needs a new or recently used connection.
+        body: a large body, which is written in parts.
     """
 
     request_id: str
     data: bytes
     is_head: bool
     needs_fresh: bool
+    body: bytes = b""
 
 
 @attrs.define(eq=False)
--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -42,6 +42,9 @@
 # Interval at which a connection that is not read checks whether the streamed
 # data was passed on, in seconds.
 RESUME_INTERVAL_S: Final = 0.05
+# Bytes of a body that are written at a time; the next are written once the
+# connection has taken them.
+BODY_PART_BYTES: Final = 256 * 1024
 
 
 BacklogFunction = Callable[[], bool]
@@ -65,12 +68,14 @@
             and whether any byte of the request may have reached the target.
         is_backlogged: returns whether streamed data waits to be passed on, so
             that the target should not be read.
+        on_sent: called when the whole request was written.
     """
 
     on_answer: Callable[[answers.TargetAnswer], None]
     on_data: Callable[[bytes, bool], None]
     on_failure: Callable[[str, bool], None]
     is_backlogged: BacklogFunction = never_backlogged
+    on_sent: Callable[[], None] = lambda: None
 
 
 class TargetConnection(protocol.Protocol):
@@ -96,6 +101,8 @@
         self._request: answers.TargetRequest | None = None
         self._events: ExchangeEvents | None = None
         self._is_sent = False
+        # Part of the body that was not written yet.
+        self._unsent = memoryview(b"")
         self._is_closed = False
         self._reactor: Any = None
         self._connector: Any = None
@@ -130,6 +137,7 @@
     def drop(self) -> None:
         """Closes the connection; nothing more is reported."""
         self._events = None
+        self._drop_body()
         if self._is_closed:
             return
         self._is_closed = True
@@ -151,7 +159,7 @@
             self.transport.abortConnection()
             return
         sockets.set_liveness(self.transport)
-        self._output = outputs.Output(self.transport, lambda: None)
+        self._output = outputs.Output(self.transport, self._send_body)
         self._parser = httptools.HttpResponseParser(self)
         if self._request is not None:
             self._send()
@@ -336,7 +344,7 @@
     def _finish(self) -> None:
         report, self._pending_report = self._pending_report, None
         output = self._output
-        is_sent = output is not None and not output.is_full
+        is_sent = output is not None and not output.is_full and not self._unsent
         is_usable = not self._is_unusable and not self._is_paused
         if self._keeps_alive and is_sent and is_usable:
             self._pool.put_idle(self)
@@ -358,6 +366,32 @@
         self._pending_bytes = 0
         self._reset()
         self._output.write(self._request.data)
+        body = self._request.body
+        self._drop_body()
+        self._unsent = memoryview(body)
+        self._send_body()
+
+    def _send_body(self) -> None:
+        """Writes the next part of the body, if the connection takes it."""
+        if self._is_closed or self._output is None or self._output.is_full:
+            return
+        if self._unsent:
+            part = bytes(self._unsent[:BODY_PART_BYTES])
+            self._unsent = self._unsent[BODY_PART_BYTES:]
+            if not self._unsent:
+                # An empty view would still hold the body.
+                self._unsent = memoryview(b"")
+            self._output.write(part)
+            if self._unsent and not self._output.is_full:
+                # Other connections are served between two parts.
+                self._reactor.callLater(0, self._send_body)
+        if not self._unsent and self._events is not None:
+            self._events.on_sent()
+
+    def _drop_body(self) -> None:
+        self._unsent = memoryview(b"")
+        if self._request is not None and self._request.body:
+            self._request = attrs.evolve(self._request, body=b"")
 
     def _reset(self) -> None:
         self._state = answers.AnswerState()
--- a/libs/sidecar/src/filbertlift_sidecar/flow.py
+++ b/libs/sidecar/src/filbertlift_sidecar/flow.py
@@ -15,6 +15,7 @@
 from filbertlift_sidecar import keeper
 from filbertlift_sidecar import remote
 from filbertlift_transport import http
+from filbertlift_transport import memory
 from filbertlift_transport import reply as replies
 
 if TYPE_CHECKING:
@@ -170,6 +171,8 @@
     def _get_lane(self) -> str:
         if self.route.kind is configuration.CallKind.DOWNLOAD:
             return remote.BULK
+        if len(self.request.body) > memory.SMALL_BODY_BYTES:
+            return remote.BULK
         return remote.SMALL
 
     def _schedule_hedge(self, view: placement.TargetView, now: float) -> None:
@@ -425,6 +428,10 @@
             if timer is not None and timer.active():
                 timer.cancel()
         self._withdraw_others(None)
+        # The reply refers to this call in a cycle, which would keep the body
+        # until the next garbage collection.
+        if self.request.body:
+            self.request = attrs.evolve(self.request, body=b"")
         elapsed_s = self._now() - self.started_at
         self.entry.metrics.note_call(reason, status, elapsed_s)
         if answer is not None and status < 500:
--- a/libs/sidecar/src/filbertlift_sidecar/frames.py
+++ b/libs/sidecar/src/filbertlift_sidecar/frames.py
@@ -30,6 +30,7 @@
 _End = Annotated[int, msgspec.Meta(ge=0, le=int(max(outcomes.AttemptEnd)))]
 _Status = Annotated[int, msgspec.Meta(ge=0, le=999)]
 _Length = Annotated[int, msgspec.Meta(ge=-1, le=decoding.MAX_COUNT)]
+_BodyLeft = Annotated[int, msgspec.Meta(ge=WITHDRAWN, le=decoding.MAX_COUNT)]
 _Left = Annotated[int, msgspec.Meta(ge=WITHDRAWN, le=MAX_FRAME_BYTES)]
 
 # Names and values of HTTP headers.
@@ -72,6 +73,49 @@
     is_idempotent: bool
 
 
+@attrs.frozen
+class LargeCall(Call):
+    """A call whose body follows in parts once the receiver asks for it.
+
+    It is a kind of its own, so that hosts that do not know it still get calls
+    with small bodies.
+
+    Attributes:
+        body_bytes: size of the body.
+    """
+
+    body_bytes: decoding.Count
+
+    @classmethod
+    def from_call(cls, call: Call) -> "LargeCall":
+        """Returns the head of a call, without its body."""
+        fields = attrs.asdict(call, recurse=False)
+        return cls(**{**fields, "body": b"", "body_bytes": len(call.body)})
+
+
+@attrs.frozen
+class BodyRequest:
+    """Asks for the body of a call, for which the receiver now has memory."""
+
+    stream: decoding.Count
+
+
+@attrs.frozen
+class BodyPart:
+    """Part of the body of a call.
+
+    Attributes:
+        stream: number of the call.
+        data: the part of the body.
+        left: number of bytes that follow, or `WITHDRAWN` if the rest will not
+            be sent.
+    """
+
+    stream: decoding.Count
+    data: bytes
+    left: _BodyLeft
+
+
 @attrs.frozen
 class Answer:
     """End of a call or, if `more` is set, the head of a streamed answer.
@@ -212,6 +256,9 @@
     | ConfigurationReply
     | Fragment
     | Pause
+    | LargeCall
+    | BodyRequest
+    | BodyPart
 )
 _KINDS: Final[tuple[type, ...]] = (
     Call,
@@ -224,6 +271,9 @@
     ConfigurationReply,
     Fragment,
     Pause,
+    LargeCall,
+    BodyRequest,
+    BodyPart,
 )
 _NUMBERS: Final = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELDS: Final = {
@@ -288,9 +338,8 @@
             end = start + PREFIX.size + size
             if len(buffer) < end:
                 break
-            message = decode_message(
-                number, bytes(buffer[start + PREFIX.size : end])
-            )
+            with memoryview(buffer)[start + PREFIX.size : end] as view:
+                message = decode_message(number, view)
             if isinstance(message, Fragment):
                 messages += self._join_fragment(message)
             else:
@@ -320,4 +369,4 @@
         size, number = PREFIX.unpack_from(joined)
         if size != len(joined) - PREFIX.size:
             raise exceptions.FrameError("fragments are no frame")
-        return [decode_message(number, bytes(joined[PREFIX.size :]))]
+        return [decode_message(number, memoryview(joined)[PREFIX.size :])]
--- a/libs/sidecar/src/filbertlift_sidecar/inbound.py
+++ b/libs/sidecar/src/filbertlift_sidecar/inbound.py
@@ -8,10 +8,12 @@
 from filbertlift_calls import means
 from filbertlift_mesh import outcomes
 from filbertlift_mesh import reasons
+from filbertlift_sidecar import bodies
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import keeper as keepers
 from filbertlift_sidecar import peerlink
 from filbertlift_sidecar import uplink as uplinks
+from filbertlift_transport import memory as memories
 
 # Time that queued data may occupy the link before targets of streamed answers
 # are no longer read, in seconds. Their sockets hold more than the link sends
@@ -21,6 +23,9 @@
 # take much of the memory.
 MAX_STREAM_BACKLOG_BYTES: Final = 8 * 1024 * 1024
 
+# Budget of the bodies of calls unless another one is given, in bytes.
+DEFAULT_BODY_BYTES: Final = 64 * 1024 * 1024
+
 Handler = Callable[[peerlink.PeerLink, frames.Message], None]
 
 
@@ -35,13 +40,27 @@
         keeper: runs the calls.
         uplink: sends the answers.
         on_message: called with each message that is not about a call.
+        memory: budget of the bodies of the calls.
         refusal: reason with which all new calls are refused, or empty.
     """
 
     keeper: keepers.Keeper
     uplink: uplinks.Uplink
     on_message: Handler
+    memory: memories.MemoryBudget = attrs.field(
+        factory=lambda: memories.MemoryBudget.from_limit(DEFAULT_BODY_BYTES)
+    )
     refusal: str = ""
+    _bodies: bodies.ArrivingBodies = attrs.field(
+        default=attrs.Factory(
+            lambda self: bodies.ArrivingBodies(
+                self.uplink.reactor,
+                self.memory,
+                bodies.BodyEvents(self._accept_whole, self._refuse_body),
+            ),
+            takes_self=True,
+        )
+    )
     _answer_sizes: dict[str, means.Mean] = attrs.field(factory=dict)
     _calls: dict[peerlink.PeerLink, dict[int, keepers.KeptCall]] = attrs.field(
         factory=dict
@@ -53,9 +72,12 @@
             self._accept(link, message)
         elif isinstance(message, frames.Cancel):
             self.uplink.withdraw(link, message.stream)
+            self._bodies.drop(link, message.stream)
             kept = self._calls.get(link, {}).pop(message.stream, None)
             if kept is not None:
                 self.keeper.cancel(kept)
+        elif isinstance(message, frames.BodyPart):
+            self._bodies.receive(link, message)
         elif isinstance(message, frames.Pause):
             kept = self._calls.get(link, {}).get(message.stream)
             if kept is not None:
@@ -66,6 +88,7 @@
     def handle_link_down(self, link: peerlink.PeerLink, _reason: str) -> None:
         """Withdraws the calls of a lost link, whose answers cannot be sent."""
         self.uplink.withdraw(link)
+        self._bodies.drop_link(link)
         for kept in self._calls.pop(link, {}).values():
             self.keeper.cancel(kept)
 
@@ -77,28 +100,72 @@
         if wait_s > call.max_wait_ms / 1000:
             self._refuse(link, call, reasons.WAIT_TOO_LONG, wait_s)
             return
+        if isinstance(call, frames.LargeCall):
+            self._bodies.expect(link, call)
+            return
+        if not call.body:
+            self._submit(link, call, keepers.ignore_body_release)
+            return
+        grant = self.memory.take(len(call.body), lambda: None)
+        if grant is not None and grant.is_granted:
+            self._submit(link, call, grant.release)
+            return
+        if grant is not None:
+            grant.release()
+            self.memory.note_refused()
+        self._refuse_body(link, call, reasons.NO_MEMORY)
+
+    def _accept_whole(
+        self,
+        link: peerlink.PeerLink,
+        call: frames.Call,
+        grant: memories.Grant,
+    ) -> None:
+        """Starts a call whose large body has arrived."""
+        if self.refusal:
+            grant.release()
+            self._refuse_body(link, call, self.refusal)
+            return
+        self._submit(link, call, grant.release)
+
+    def _refuse_body(
+        self, link: peerlink.PeerLink, call: frames.Call, reason: str
+    ) -> None:
+        self._refuse(link, call, reason, 0.0)
+
+    def _submit(
+        self,
+        link: peerlink.PeerLink,
+        call: frames.Call,
+        on_body_released: keepers.BodyReleaseFunction,
+    ) -> None:
         calls = self._calls.setdefault(link, {})
 
+        # The functions must not refer to the call, which holds its body.
+        stream, work_class = call.stream, call.work_class
+
         def send_answer(answer: frames.Answer) -> None:
             if not answer.more:
-                calls.pop(call.stream, None)
+                calls.pop(stream, None)
             if answer.status:
-                size = self._answer_sizes.setdefault(
-                    call.work_class, means.Mean()
-                )
+                size = self._answer_sizes.setdefault(work_class, means.Mean())
                 size.add(len(answer.body))
-            self.uplink.send(link, call.stream, answer)
+            self.uplink.send(link, stream, answer)
 
         def send_chunk(chunk: frames.Chunk) -> None:
             if chunk.is_last:
-                calls.pop(call.stream, None)
-            self.uplink.send(link, call.stream, chunk)
+                calls.pop(stream, None)
+            self.uplink.send(link, stream, chunk)
 
         kept = self.keeper.submit(
-            call, send_answer, send_chunk, lambda: self._is_backlogged(link)
+            call,
+            send_answer,
+            send_chunk,
+            lambda: self._is_backlogged(link),
+            on_body_released,
         )
         if not kept.is_over:
-            calls[call.stream] = kept
+            calls[stream] = kept
 
     def _is_backlogged(self, link: peerlink.PeerLink) -> bool:
         """Returns whether data for a peer waits on this host."""
--- a/libs/sidecar/src/filbertlift_sidecar/keeper.py
+++ b/libs/sidecar/src/filbertlift_sidecar/keeper.py
@@ -21,6 +21,7 @@
 from filbertlift_sidecar import exchange
 from filbertlift_sidecar import frames
 from filbertlift_transport import http
+from filbertlift_transport import memory
 
 # Interval at which waiting calls that can no longer be served in time are
 # refused, in seconds.
@@ -36,11 +37,17 @@
 
 MICROSECONDS: Final = 1_000_000
 
+# Called once a keeper no longer holds the body of a call.
+BodyReleaseFunction = Callable[[], None]
 AnswerFunction = Callable[[frames.Answer], None]
 ChunkFunction = Callable[[frames.Chunk], None]
 AttemptEnd = outcomes.AttemptEnd
 
 
+def ignore_body_release() -> None:
+    """Does nothing, for calls whose body is accounted for elsewhere."""
+
+
 @attrs.frozen
 class SentCall:
     """Controls of a call that was submitted to a keeper.
@@ -64,6 +71,7 @@
         ticket: its entry in the backlog.
         on_answer: called with its end, or with the head of a streamed answer.
         on_chunk: called with each further part of a streamed answer.
+        on_body_released: called once its body is no longer held.
         is_over: whether its end was reported or nothing waits for it any more.
         is_backlogged: returns whether streamed data waits to be passed on.
         target_id: target that it was sent to, empty before that.
@@ -78,6 +86,7 @@
     on_answer: AnswerFunction
     on_chunk: ChunkFunction
     is_backlogged: exchange.BacklogFunction = exchange.never_backlogged
+    on_body_released: BodyReleaseFunction = ignore_body_release
     is_over: bool = False
     target_id: str = ""
     is_streaming: bool = False
@@ -85,6 +94,14 @@
     connection: exchange.TargetConnection | None = None
     run_timer: Any = None
 
+    def release_body(self) -> None:
+        """Drops the body, which is not needed any more."""
+        if self.call.body:
+            self.call = attrs.evolve(self.call, body=b"")
+        on_released = self.on_body_released
+        self.on_body_released = ignore_body_release
+        on_released()
+
 
 @attrs.define(eq=False)
 class Keeper:
@@ -121,6 +138,7 @@
         on_answer: AnswerFunction,
         on_chunk: ChunkFunction,
         is_backlogged: exchange.BacklogFunction = exchange.never_backlogged,
+        on_body_released: BodyReleaseFunction = ignore_body_release,
     ) -> KeptCall:
         """Starts, queues or refuses a call.
 
@@ -136,7 +154,9 @@
             now + call.objective_ms / 1000,
             now + call.left_ms / 1000,
         )
-        kept = KeptCall(call, ticket, on_answer, on_chunk, is_backlogged)
+        kept = KeptCall(
+            call, ticket, on_answer, on_chunk, is_backlogged, on_body_released
+        )
         reason = self._find_refusal(call, now)
         if reason:
             self._refuse(kept, reason, 0.0)
@@ -154,7 +174,8 @@
     def cancel(self, kept: KeptCall) -> None:
         """Withdraws a call whose caller is gone or has been answered.
 
-        A waiting call is removed. A run is stopped only if it is idempotent.
+        A waiting call is removed. A run is stopped only if it is idempotent, or
+        if the target cannot run it yet since it does not have the whole body.
         """
         if kept.is_over:
             return
@@ -170,8 +191,9 @@
         )
         if self.backlog.withdraw(kept.ticket):
             del self._waiting[kept.ticket]
+            kept.release_body()
             return
-        if kept.call.is_idempotent:
+        if kept.call.is_idempotent or kept.call.body:
             self._stop_run(kept)
 
     def pause(self, kept: KeptCall, is_paused: bool) -> None:
@@ -234,6 +256,7 @@
                     kept, reason, is_sent
                 ),
                 lambda: kept.is_paused or kept.is_backlogged(),
+                kept.release_body,
             ),
         )
 
@@ -249,12 +272,16 @@
         lines.append(f"{dialect.instance}: {target.target_id}")
         if call.body or call.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(call.body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
+        data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+        body = call.body
+        if len(body) <= memory.SMALL_BODY_BYTES:
+            data, body = data + body, b""
         return answers.TargetRequest(
             call.request_id,
-            head.encode("latin-1", "replace") + call.body,
+            data,
             call.method == "HEAD",
             not call.is_idempotent,
+            body,
         )
 
     def _receive_answer(
@@ -338,6 +365,7 @@
     def _end_run(self, kept: KeptCall, is_sample: bool) -> None:
         if self._running.pop(kept.ticket, None) is None:
             return
+        kept.release_body()
         if kept.run_timer is not None and kept.run_timer.active():
             kept.run_timer.cancel()
         self.backlog.release(kept.ticket, is_sample, self.reactor.seconds())
@@ -374,6 +402,7 @@
         reason: str,
         retry_after_s: float = 0.0,
     ) -> None:
+        kept.release_body()
         if kept.is_over:
             return
         kept.is_over = True
--- a/libs/sidecar/src/filbertlift_sidecar/metrics.py
+++ b/libs/sidecar/src/filbertlift_sidecar/metrics.py
@@ -5,6 +5,8 @@
 import attrs
 import prometheus_client as prometheus
 
+from filbertlift_transport import memory
+
 # Upper bounds of the latency buckets, in seconds.
 BUCKETS: Final = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 
@@ -26,6 +28,10 @@
         hosts: number of live hosts, including this one.
         beats: heartbeats and departure notices of the target by result.
         rejected: distinct rejected values of others by event.
+        body_memory: memory for the bodies of requests, by their sender, and
+            the part of it that is used, in bytes.
+        body_waits: bodies that had to wait for memory, by their sender.
+        body_refusals: bodies refused for lack of memory, by their sender.
     """
 
     registry: prometheus.CollectorRegistry
@@ -37,6 +43,9 @@
     hosts: prometheus.Gauge
     beats: prometheus.Counter
     rejected: prometheus.Counter
+    body_memory: prometheus.Gauge
+    body_waits: prometheus.Gauge
+    body_refusals: prometheus.Gauge
 
     @classmethod
     def create(cls) -> "NodeMetrics":
@@ -88,7 +97,34 @@
                 ["event"],
                 registry=registry,
             ),
+            prometheus.Gauge(
+                "filbertlift_body_memory_bytes",
+                "Memory for bodies of requests, by their sender: limit and use",
+                ["sender", "kind"],
+                registry=registry,
+            ),
+            prometheus.Gauge(
+                "filbertlift_body_waits",
+                "Bodies of requests that had to wait for memory",
+                ["sender"],
+                registry=registry,
+            ),
+            prometheus.Gauge(
+                "filbertlift_body_refusals",
+                "Bodies of requests that were refused for lack of memory",
+                ["sender"],
+                registry=registry,
+            ),
+        )
+
+    def watch_memory(self, sender: str, budget: memory.MemoryBudget) -> None:
+        """Shows a budget of the bodies of one kind of sender."""
+        self.body_memory.labels(sender, "limit").set(budget.limit_bytes)
+        self.body_memory.labels(sender, "used").set_function(
+            lambda: budget.used_bytes
         )
+        self.body_waits.labels(sender).set_function(lambda: budget.waited)
+        self.body_refusals.labels(sender).set_function(lambda: budget.refused)
 
     def note_call(self, reason: str, status: int, elapsed_s: float) -> None:
         """Counts the end of a call."""
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -39,10 +39,15 @@
 from filbertlift_sidecar import versions
 from filbertlift_store import interface
 from filbertlift_transport import http
+from filbertlift_transport import memory
 from filbertlift_transport import reply as replies
 from filbertlift_transport import server
 
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
+# Memory for everything but the bodies of requests: code, records, answers and
+# the buffers of links. A process with little memory still gives bodies a share.
+BASE_MEMORY_BYTES: Final = 100_000_000
+MIN_BODY_SHARE: Final = 0.25
 # Delay of a timer that is logged, in seconds. A caller whose request has been
 # unread for that long sees a closed connection as a lost request.
 MIN_LOGGED_DELAY_S: Final = 0.2
@@ -160,8 +165,18 @@
             rng,
             noted,
         )
+        # Bodies of callers wait at peers for the memory of their bodies, which
+        # must not wait for these in turn, so each kind has a budget of its own.
+        body_bytes = _get_body_bytes(settings.memory_bytes) // 2
+        self._caller_memory = memory.MemoryBudget.from_limit(body_bytes)
+        self._peer_memory = memory.MemoryBudget.from_limit(body_bytes)
+        meters.watch_memory("callers", self._caller_memory)
+        meters.watch_memory("peers", self._peer_memory)
         self._inbound = inbound.InboundCalls(
-            self._keeper, self._uplink, self._versions.receive
+            self._keeper,
+            self._uplink,
+            self._versions.receive,
+            self._peer_memory,
         )
         self._listener = peerlink.LinkListener(
             reactor,
@@ -201,7 +216,11 @@
         self._listen(settings.metrics, self._answer_metrics)
         limits = _make_limits(configuration.ClientLimits())
         self._caller_server = server.HttpServer.listen(
-            self._reactor, settings.outbound, self.entry.handle, limits
+            self._reactor,
+            settings.outbound,
+            self.entry.handle,
+            limits,
+            self._caller_memory,
         )
         self._servers.append(self._caller_server)
         self._listener.start()
@@ -456,5 +475,11 @@
     )
 
 
+def _get_body_bytes(memory_bytes: int) -> int:
+    """Returns the memory for the bodies of requests, in bytes."""
+    least_bytes = int(memory_bytes * MIN_BODY_SHARE)
+    return max(least_bytes, memory_bytes - BASE_MEMORY_BYTES)
+
+
 def _get_unix_ms() -> int:
     return int(time.time() * 1000)
--- a/libs/sidecar/src/filbertlift_sidecar/remote.py
+++ b/libs/sidecar/src/filbertlift_sidecar/remote.py
@@ -14,6 +14,7 @@
 from filbertlift_sidecar import keeper
 from filbertlift_sidecar import peerlink
 from filbertlift_sidecar import uplink as uplinks
+from filbertlift_transport import memory
 
 # Lanes: the separate links to one peer. Large answers have a link of their own,
 # so that small ones do not wait behind them on a narrow link.
@@ -38,6 +39,9 @@
         on_answer: called with its end, or with the head of a streamed answer.
         on_chunk: called with each further part of a streamed answer.
         is_streaming: whether the head of a streamed answer has arrived.
+        body: a large body that the peer has not asked for yet.
+        is_body_sent: whether all of the body was sent; the call has certainly
+            not run before that.
     """
 
     link: peerlink.PeerLink
@@ -45,6 +49,8 @@
     on_answer: keeper.AnswerFunction
     on_chunk: keeper.ChunkFunction
     is_streaming: bool = False
+    body: bytes = b""
+    is_body_sent: bool = True
 
 
 @attrs.define(eq=False)
@@ -86,7 +92,12 @@
         remote = RemoteCall(link, stream, on_answer, on_chunk)
         self._calls[stream] = remote
         link.note_call()
-        self.uplink.send(link, stream, attrs.evolve(call, stream=stream))
+        call = attrs.evolve(call, stream=stream)
+        if len(call.body) > memory.SMALL_BODY_BYTES:
+            remote.body = call.body
+            remote.is_body_sent = False
+            call = frames.LargeCall.from_call(call)
+        self.uplink.send(link, stream, call)
         return remote
 
     def cancel(self, remote: RemoteCall) -> None:
@@ -94,7 +105,7 @@
         if self._calls.pop(remote.stream, None) is None:
             return
         remote.link.note_end()
-        self.uplink.withdraw(remote.link, remote.stream)
+        self._withdraw_data(remote)
         remote.link.send(frames.Cancel(remote.stream))
 
     def pause(self, remote: RemoteCall, is_paused: bool) -> None:
@@ -135,6 +146,8 @@
             self._receive_answer(link, message)
         elif isinstance(message, frames.Chunk):
             self._receive_chunk(link, message)
+        elif isinstance(message, frames.BodyRequest):
+            self._send_body(link, message.stream)
         elif self.on_message is not None:
             self.on_message(link, message)
 
@@ -173,8 +186,29 @@
             self._remove_call(remote)
         remote.on_chunk(chunk)
 
+    def _send_body(self, link: peerlink.PeerLink, stream: int) -> None:
+        """Sends the body of a call in parts, as fast as the link takes them."""
+        remote = self._find_call(link, stream)
+        if remote is None or not remote.body:
+            return
+        body, remote.body = remote.body, b""
+
+        def write(part: bytes, left: int) -> None:
+            remote.is_body_sent = not left
+            link.send(frames.BodyPart(stream, part, left))
+
+        self.uplink.offer(
+            link, stream, memoryview(body), write, lambda: link.is_full
+        )
+
+    def _withdraw_data(self, remote: RemoteCall) -> None:
+        """Drops what was not sent of a call, which holds its body."""
+        remote.body = b""
+        self.uplink.withdraw(remote.link, remote.stream)
+
     def _remove_call(self, remote: RemoteCall) -> None:
         del self._calls[remote.stream]
+        self._withdraw_data(remote)
         remote.link.note_end()
 
     def _report_suspect(self, link: peerlink.PeerLink) -> None:
@@ -193,13 +227,14 @@
             )
         # Unless the link was never open, bytes of a call may have been sent.
         was_open = link.transport is not None
-        end = (
-            outcomes.AttemptEnd.BROKEN
-            if was_open
-            else outcomes.AttemptEnd.NOT_RUN
-        )
         for remote in lost:
             del self._calls[remote.stream]
+            remote.body = b""
+            end = (
+                outcomes.AttemptEnd.BROKEN
+                if was_open and remote.is_body_sent
+                else outcomes.AttemptEnd.NOT_RUN
+            )
             if remote.is_streaming:
                 remote.on_chunk(
                     frames.Chunk(remote.stream, b"", True, failed=True)
--- a/libs/sidecar/src/filbertlift_sidecar/settings.py
+++ b/libs/sidecar/src/filbertlift_sidecar/settings.py
@@ -1,11 +1,15 @@
 """Validated settings of a node."""
 
 from collections.abc import Mapping
+from typing import Final
 
 import attrs
 
 from filbertlift_core import model
 
+# Memory that a process may take unless its settings say otherwise, in bytes.
+DEFAULT_MEMORY_BYTES: Final = 300_000_000
+
 
 @attrs.frozen
 class NodeSettings:
@@ -31,6 +35,7 @@
         repeat_ratio: repeats allowed per call of a service.
         repeat_slack: further repeats allowed in each window.
         repeat_window_s: length of the window, in seconds.
+        memory_bytes: memory that the process may take, in bytes.
         links: address at which links of peers are accepted; None for `peers`.
     """
 
@@ -50,6 +55,7 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     links: model.Address | None = None
 
     def describe(self) -> Mapping[str, str]:
--- a/libs/sidecar/src/filbertlift_sidecar/uplink.py
+++ b/libs/sidecar/src/filbertlift_sidecar/uplink.py
@@ -35,12 +35,21 @@
 # Shortest delay of the timer, in seconds, so that rounding does not make it
 # fire repeatedly just before a fragment is due.
 MIN_DELAY_S: Final = 0.001
+# Interval at which a blocked transfer is tried again, in seconds.
+BLOCKED_INTERVAL_S: Final = 0.005
 BITS_PER_BYTE: Final = 8
 
 
 # Called with a part of the data and the number of bytes that follow, or with
 # `WITHDRAWN` if the rest will not be sent.
 WriteFunction = Callable[[bytes, int], None]
+# Returns whether the owner takes no data now.
+BlockedFunction = Callable[[], bool]
+
+
+def never_blocked() -> bool:
+    """Returns False, for owners that always take data."""
+    return False
 
 
 class Link(Protocol):
@@ -63,13 +72,15 @@
         data: the whole data.
         write: writes a part of the data.
         sent: number of bytes that were written.
+        is_blocked: returns whether the owner takes no data now.
         next_at: when the receiver can take the next part, in seconds.
     """
 
     owner: object
     stream: int
-    data: bytes
+    data: bytes | memoryview
     write: WriteFunction
+    is_blocked: BlockedFunction
     sent: int = 0
     next_at: float = 0.0
 
@@ -143,7 +154,12 @@
         self._free_at = max(self._free_at, now) + send_time_s
 
     def offer(
-        self, owner: object, stream: int, data: bytes, write: WriteFunction
+        self,
+        owner: object,
+        stream: int,
+        data: bytes | memoryview,
+        write: WriteFunction,
+        is_blocked: BlockedFunction = never_blocked,
     ) -> None:
         """Queues data, which is written in parts after the earlier data.
 
@@ -152,8 +168,9 @@
             stream: stream of the owner to which the data belongs.
             data: data to write.
             write: writes a part; may be called before this method returns.
+            is_blocked: returns whether the owner takes no data now.
         """
-        self._queue.append(_Transfer(owner, stream, data, write))
+        self._queue.append(_Transfer(owner, stream, data, write, is_blocked))
         self._queued_bytes += len(data)
         if self._timer is None:
             self._send_due()
@@ -219,14 +236,17 @@
             if id(transfer.owner) in seen:
                 continue
             seen.add(id(transfer.owner))
-            if transfer.next_at <= until:
+            if transfer.next_at > until:
+                continue
+            if not transfer.is_blocked():
                 return transfer
+            transfer.next_at = until + BLOCKED_INTERVAL_S
         return None
 
     def _write_next(self, transfer: _Transfer) -> int:
         """Writes the next part; returns its size."""
         start = transfer.sent
-        part = transfer.data[start : start + self.fragment_bytes]
+        part = bytes(transfer.data[start : start + self.fragment_bytes])
         transfer.sent += len(part)
         self._queued_bytes -= len(part)
         left = len(transfer.data) - transfer.sent
--- a/libs/sidecar/tests/test_exchange.py
+++ b/libs/sidecar/tests/test_exchange.py
@@ -515,3 +515,40 @@
     bench.reactor.advance(2 * exchange.RESUME_INTERVAL_S)
     assert connection.transport.producerState != "producing"
     assert not bench.reactor.getDelayedCalls()
+
+
+def send_body(bench, body):
+    sent = []
+    request = answers.TargetRequest("r-1", b"HEAD\r\n", False, True, body)
+    events = exchange.ExchangeEvents(
+        bench.answers.append,
+        lambda *_: None,
+        lambda *_: None,
+        on_sent=lambda: sent.append(True),
+    )
+    bench.pool.send(request, events)
+    connection = bench.reactor.tcpClients[-1][2].buildProtocol(None)
+    transport = testing.StringTransport()
+    connection.makeConnection(transport)
+    return connection, transport, sent
+
+
+def test_a_large_body_is_written_in_parts_and_then_reported(bench):
+    """Guards against further copies of a body in the output of a connection."""
+    body = bytes(range(256)) * 4_096
+    _connection, transport, sent = send_body(bench, body)
+    assert len(transport.value()) < exchange.BODY_PART_BYTES + 100
+    assert sent == []
+    bench.reactor.pump([0] * 10)
+    assert transport.value() == b"HEAD\r\n" + body
+    assert sent
+
+
+def test_a_target_that_answers_before_it_has_the_body_is_not_reused(bench):
+    """Guards against the rest of a body in place of the next request."""
+    connection, transport, _sent = send_body(bench, b"x" * 1_000_000)
+    connection.dataReceived(make_answer())
+    written = len(transport.value())
+    bench.reactor.pump([0] * 10)
+    assert len(transport.value()) == written
+    assert bench.send("r-2") is not connection
--- a/libs/sidecar/tests/test_flow.py
+++ b/libs/sidecar/tests/test_flow.py
@@ -16,6 +16,7 @@
 from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import metrics
+from filbertlift_sidecar import remote
 from filbertlift_transport import http
 
 DIALECT = answers.TargetDialect(
@@ -63,11 +64,12 @@
 
     def __init__(self):
         self.calls = []
+        self.lanes = []
         self.cancelled = []
         self.pauses = []
 
     def submit(self, address, lane, call, on_answer, on_chunk):
-        del lane
+        self.lanes.append(lane)
         self.calls.append((address, call, on_answer, on_chunk))
         return len(self.calls) - 1
 
@@ -137,12 +139,12 @@
             True,
         )
 
-    def call(self, path="/x/1", host="h.example", **headers):
+    def call(self, path="/x/1", host="h.example", body=b"", **headers):
         request = http.Request(
             "GET",
             path,
             {"host": host, "x-id": "r-1", "x-deadline": "1000", **headers},
-            b"",
+            body,
             model.Address("10.0.0.1", 5),
         )
         reply = FakeReply()
@@ -479,3 +481,31 @@
     bench.clock.advance(0.1)
     assert reply.sent[0][0] == 503
     assert bench.call().sent[0][0] == 503
+
+
+def test_a_large_body_does_not_travel_on_the_link_of_small_calls(bench):
+    """Guards against small calls that wait behind a body on a full link."""
+    bench.call(body=b"x" * 100_000)
+    bench.call(body=b"x")
+    assert bench.remote.lanes == [remote.BULK, remote.SMALL]
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_call_that_has_ended_does_not_hold_its_body(bench, is_answered):
+    """Guards against bodies that are kept until a garbage collection."""
+    reply = bench.call(body=b"x" * 100_000)
+    (flow,) = bench.entry.flows
+    assert len(flow.request.body) == 100_000
+    if is_answered:
+        bench.remote.answer(0, AttemptEnd.ANSWERED, status=200)
+    else:
+        reply.on_gone()
+    assert flow.request.body == b""
+
+
+def test_a_body_is_sent_again_to_another_target(unsafe_bench):
+    """Guards against a body that is dropped before a refusal is repeated."""
+    unsafe_bench.call(body=b"x" * 100_000)
+    unsafe_bench.remote.answer(0, AttemptEnd.NOT_RUN, "no-memory")
+    bodies = [call.body for _address, call, *_ in unsafe_bench.remote.calls]
+    assert bodies == [b"x" * 100_000] * 2
--- a/libs/sidecar/tests/test_frames.py
+++ b/libs/sidecar/tests/test_frames.py
@@ -23,6 +23,9 @@
     frames.ConfigurationReply(7, b"x"),
     frames.Fragment(1, b"x", 4),
     frames.Pause(1, True),
+    frames.LargeCall.from_call(CALL),
+    frames.BodyRequest(1),
+    frames.BodyPart(1, b"x", 4),
 )
 ODD_VALUES = strategies.one_of(
     strategies.none(),
@@ -128,3 +131,10 @@
         ):
             reader.feed(frames.encode_message(fragment))
     assert reader._joined_bytes == 0
+
+
+def test_a_call_with_a_small_body_has_the_frame_of_earlier_versions():
+    """Guards against links that close while versions are mixed."""
+    frame = frames.encode_message(CALL)
+    assert frame[frames.PREFIX.size - 1] == 0
+    assert len(msgspec.msgpack.decode(frame[frames.PREFIX.size :])) == 13
--- a/libs/sidecar/tests/test_inbound.py
+++ b/libs/sidecar/tests/test_inbound.py
@@ -1,11 +1,17 @@
 """Tests of calls that other nodes send to the keeper of this node."""
 
 import attrs
+import pytest
 from twisted.internet import task
 
+from filbertlift_mesh import backlog
+from filbertlift_mesh import outcomes
+from filbertlift_mesh import reasons
+from filbertlift_sidecar import eventlog
 from filbertlift_sidecar import frames
 from filbertlift_sidecar import inbound
 from filbertlift_sidecar import uplink
+from filbertlift_transport import memory
 
 
 @attrs.define
@@ -14,14 +20,22 @@
 
     is_backlogged: object = None
     is_over: bool = True
+    on_released: object = None
+    calls: list = attrs.Factory(list)
     pauses: list = attrs.Factory(list)
+    backlog: object = attrs.Factory(backlog.Backlog)
+    log: object = attrs.Factory(
+        lambda: eventlog.EventLog(lambda: 0.0, lambda _line: None)
+    )
 
     def pause(self, kept, is_paused):
         assert kept is self
         self.pauses.append(is_paused)
 
-    def submit(self, _call, _on_answer, _on_chunk, is_backlogged):
+    def submit(self, call, _on_answer, _on_chunk, is_backlogged, on_released):
         self.is_backlogged = is_backlogged
+        self.on_released = on_released
+        self.calls.append(call)
         return self
 
 
@@ -30,6 +44,14 @@
     """Link to a peer that reads, or does not."""
 
     is_full: bool = False
+    sent: list = attrs.Factory(list)
+    closed: str = ""
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def close(self, reason):
+        self.closed = reason
 
 
 CALL = frames.Call(
@@ -88,3 +110,102 @@
     calls.receive(link, frames.Pause(1, True))
     calls.receive(link, frames.Pause(1, False))
     assert keeper.pauses == [True, False]
+
+
+BODY = b"x" * 100_000
+HEAD = frames.LargeCall.from_call(attrs.evolve(CALL, body=BODY))
+
+
+class Receiver:
+    """Receives calls with memory for one large body, and their parts."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.keeper = FakeKeeper()
+        self.budget = memory.MemoryBudget.from_limit(150_000)
+        pacing = uplink.Uplink.from_rate(self.clock, 1_000_000)
+        self.calls = inbound.InboundCalls(
+            self.keeper, pacing, lambda *_: None, self.budget
+        )
+        self.link = FakeLink()
+
+    def receive(self, *messages):
+        for message in messages:
+            self.calls.receive(self.link, message)
+
+    def send_body(self, stream=1):
+        half = len(BODY) // 2
+        self.receive(
+            frames.BodyPart(stream, BODY[:half], len(BODY) - half),
+            frames.BodyPart(stream, BODY[half:], 0),
+        )
+
+
+def test_a_large_body_is_asked_for_and_its_memory_held_until_it_is_gone():
+    receiver = Receiver()
+    receiver.receive(HEAD)
+    assert receiver.link.sent == [frames.BodyRequest(1)]
+    receiver.clock.advance(0.5)
+    receiver.send_body()
+    assert [call.body for call in receiver.keeper.calls] == [BODY]
+    assert receiver.keeper.calls[0].left_ms == HEAD.left_ms - 500
+    assert receiver.budget.used_bytes == len(BODY)
+    receiver.keeper.on_released()
+    assert receiver.budget.used_bytes == 0
+
+
+def test_a_second_large_body_is_not_asked_for_beside_the_first():
+    """Guards against bodies of peers that together exceed the memory."""
+    receiver = Receiver()
+    receiver.receive(HEAD, attrs.evolve(HEAD, stream=2))
+    receiver.send_body()
+    assert receiver.link.sent == [frames.BodyRequest(1)]
+    receiver.keeper.on_released()
+    assert receiver.link.sent[1:] == [frames.BodyRequest(2)]
+
+
+def test_a_call_whose_body_finds_no_memory_in_time_has_not_run():
+    receiver = Receiver()
+    receiver.receive(HEAD, attrs.evolve(HEAD, stream=2))
+    receiver.send_body()
+    receiver.clock.advance(HEAD.max_wait_ms / 1000)
+    answer = receiver.link.sent[-1]
+    assert (answer.stream, answer.reason) == (2, reasons.NO_MEMORY)
+    assert answer.end == outcomes.AttemptEnd.NOT_RUN
+    assert receiver.budget.waiting == 0
+
+
+@pytest.mark.parametrize(
+    "message", [frames.Cancel(1), frames.BodyPart(1, b"", frames.WITHDRAWN)]
+)
+def test_a_withdrawn_body_gives_back_its_memory(message):
+    receiver = Receiver()
+    receiver.receive(HEAD, frames.BodyPart(1, BODY[:9], len(BODY) - 9), message)
+    assert receiver.budget.used_bytes == 0
+    assert receiver.keeper.calls == []
+
+
+def test_the_bodies_of_a_lost_link_give_back_their_memory():
+    receiver = Receiver()
+    receiver.receive(HEAD, attrs.evolve(HEAD, stream=2))
+    receiver.calls.handle_link_down(receiver.link, "lost")
+    assert (receiver.budget.used_bytes, receiver.budget.waiting) == (0, 0)
+
+
+def test_a_body_of_another_length_closes_the_link():
+    """Guards against a peer that sends more than was granted."""
+    receiver = Receiver()
+    receiver.receive(HEAD, frames.BodyPart(1, BODY + b"y", 0))
+    assert receiver.link.closed
+    assert receiver.keeper.calls == []
+
+
+@pytest.mark.parametrize(
+    "message", [HEAD, frames.BodyPart(2, BODY, 0)], ids=["again", "unasked"]
+)
+def test_a_peer_that_sends_without_being_asked_loses_its_link(message):
+    """Guards against bytes of peers that no budget counts."""
+    receiver = Receiver()
+    receiver.receive(HEAD, attrs.evolve(HEAD, stream=2), message)
+    assert receiver.link.closed
+    assert receiver.keeper.calls == []
--- a/libs/sidecar/tests/test_keeper.py
+++ b/libs/sidecar/tests/test_keeper.py
@@ -244,3 +244,48 @@
     data = bench.pool.sent[0][0].data
     assert b"X-Deadline: 300\r\n" in data
     assert b"X-Instance: i-1\r\n" in data
+
+
+def test_the_body_of_a_call_is_released_once_it_was_sent(bench):
+    """Guards against large bodies that are held while their calls run."""
+    released = []
+    kept = bench.keeper.submit(
+        make_call(1, body=b"x" * 100_000),
+        bench.answers.append,
+        lambda _chunk: None,
+        on_body_released=lambda: released.append(1),
+    )
+    request, events, _connection = bench.pool.sent[0]
+    assert request.body == b"x" * 100_000
+    assert (kept.call.body, released) == (request.body, [])
+    events.on_sent()
+    events.on_answer(make_answer())
+    assert (kept.call.body, released) == (b"", [1])
+
+
+@pytest.mark.parametrize("is_running", [True, False])
+def test_a_withdrawn_call_releases_its_body(bench, is_running):
+    """Guards against a body that is kept for a target that does not read."""
+    released = []
+    if not is_running:
+        bench.submit(1)
+    kept = bench.keeper.submit(
+        make_call(2, body=b"x" * 100_000, is_idempotent=False),
+        bench.answers.append,
+        lambda _chunk: None,
+        on_body_released=lambda: released.append(2),
+    )
+    bench.keeper.cancel(kept)
+    assert released == [2]
+    assert bench.pool.sent[-1][2].is_dropped is is_running
+
+
+def test_a_refused_call_releases_its_body(bench):
+    released = []
+    bench.keeper.submit(
+        make_call(1, body=b"x", service="b"),
+        bench.answers.append,
+        lambda _chunk: None,
+        on_body_released=lambda: released.append(1),
+    )
+    assert released == [1]
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -1,5 +1,6 @@
 """Tests of links between nodes and the calls on them."""
 
+import attrs
 import pytest
 from twisted.internet import error as twisted_errors
 from twisted.internet import testing
@@ -37,11 +38,11 @@
         self.answers = []
         self.chunks = []
 
-    def submit(self):
+    def submit(self, call=CALL):
         return self.calls.submit(
             PEER,
             remote.SMALL,
-            CALL,
+            call,
             self.answers.append,
             self.chunks.append,
         )
@@ -252,3 +253,57 @@
     )
     assert link.is_closed and bench.answers == [head]
     assert bench.chunks == [frames.Chunk(remote_call.stream, b"", True, True)]
+
+
+LARGE_CALL = attrs.evolve(CALL, body=b"x" * 5_000_000)
+
+
+def ask_for_body(remote_call, link):
+    message = frames.BodyRequest(remote_call.stream)
+    link.dataReceived(frames.encode_message(message))
+
+
+def test_a_large_body_is_sent_only_once_the_peer_asks_for_it(bench):
+    """Guards against bodies for which the peer has no memory."""
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    (head,) = bench.read_sent(link)
+    assert (head.body, head.body_bytes) == (b"", 5_000_000)
+    bench.reactor.advance(0.2)
+    assert bench.read_sent(link) == []
+    ask_for_body(remote_call, link)
+    bench.reactor.pump([0.01] * 50)
+    parts = [
+        message
+        for message in bench.read_sent(link)
+        if isinstance(message, frames.BodyPart)
+    ]
+    assert b"".join(part.data for part in parts) == LARGE_CALL.body
+    assert parts[-1].left == 0
+
+
+@pytest.mark.parametrize(
+    ("seconds", "end"),
+    [(0.0, AttemptEnd.NOT_RUN), (1.0, AttemptEnd.BROKEN)],
+)
+def test_a_call_whose_body_was_cut_off_has_not_run(bench, seconds, end):
+    """Guards against a 502 for a call that certainly has not run."""
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    ask_for_body(remote_call, link)
+    bench.reactor.pump([0.01] * int(seconds / 0.01))
+    link.connectionLost(failure.Failure(twisted_errors.ConnectionLost()))
+    assert [AttemptEnd(answer.end) for answer in bench.answers] == [end]
+
+
+def test_the_body_of_a_withdrawn_call_is_not_sent_on(bench):
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    ask_for_body(remote_call, link)
+    bench.calls.cancel(remote_call)
+    bench.reactor.pump([0.01] * 50)
+    *_others, last_part, cancel = bench.read_sent(link)
+    assert last_part == frames.BodyPart(
+        remote_call.stream, b"", frames.WITHDRAWN
+    )
+    assert cancel == frames.Cancel(remote_call.stream)
--- a/libs/sidecar/tests/test_uplink.py
+++ b/libs/sidecar/tests/test_uplink.py
@@ -133,3 +133,21 @@
     data = frames.encode_message(frames.Fragment(1, b"abc", 0))
     with pytest.raises(exceptions.FrameError):
         frames.FrameReader().feed(data)
+
+
+def test_data_waits_while_its_owner_takes_none(narrow, clock):
+    """Guards against a body that is copied to the buffers of a full link."""
+    written = []
+    is_full = True
+    narrow.offer(
+        object(),
+        1,
+        memoryview(b"z" * 20_000),
+        lambda part, _left: written.append(part),
+        lambda: is_full,
+    )
+    run(clock, 0.5)
+    assert written == []
+    is_full = False
+    run(clock, 0.5)
+    assert b"".join(written) == b"z" * 20_000
--- a/libs/transport/src/filbertlift_transport/requests.py
+++ b/libs/transport/src/filbertlift_transport/requests.py
@@ -1,14 +1,21 @@
 """Parses received bytes into HTTP requests and enforces limits."""
 
+from collections.abc import Callable
+import io
 from typing import Any
+from typing import Final
 
 import attrs
 import httptools
 
 from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import memory
 from filbertlift_transport import uploads
 
+# Code of the refusal of a request whose body finds no memory.
+NO_MEMORY: Final = "FL-HTTP-MEMORY"
+
 
 class RefusedError(Exception):
     """A request is malformed or over a limit.
@@ -34,11 +41,18 @@
         request: the request.
         keep: whether the caller keeps the connection open.
         is_http_1_0: whether the caller uses an HTTP version before 1.1.
+        grant: memory of the body, to be released with it.
     """
 
     request: http.Request
     keep: bool
     is_http_1_0: bool
+    grant: memory.Grant | None = None
+
+    def release(self) -> None:
+        """Gives back the memory of the body."""
+        if self.grant is not None:
+            self.grant.release()
 
 
 @attrs.define(eq=False)
@@ -58,6 +72,8 @@
     _limits: http.Limits
     _peer: model.Address
     _transport: Any
+    _memory: memory.MemoryBudget | None = None
+    _on_granted: Callable[[], None] = lambda: None
     upload: uploads.Upload | None = None
     is_in_head: bool = False
     is_in_body: bool = False
@@ -67,10 +83,23 @@
     _headers: dict[str, str] = attrs.field(factory=dict)
     _head_bytes: int = 0
     _unparsed_bytes: int = 0
-    _body: list[bytes] = attrs.field(factory=list)
+    # The bytes of a `BytesIO` become the body without a copy.
+    _body: io.BytesIO = attrs.field(factory=io.BytesIO)
     _body_bytes: int = 0
+    _grant: memory.Grant | None = None
+    _granted_bytes: int = 0
     _parser: Any = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the body waits for memory, so nothing should be read."""
+        return self._grant is not None and not self._grant.is_granted
+
+    def release(self) -> None:
+        """Drops the incomplete body and gives back its memory."""
+        self._body = io.BytesIO()
+        self._release_grant()
+
     def feed(self, data: bytes) -> list[ParsedRequest]:
         """Returns the requests completed by these bytes.
 
@@ -110,8 +139,9 @@
         self._headers = {}
         self._head_bytes = 0
         self._unparsed_bytes = 0
-        self._body = []
+        self._body = io.BytesIO()
         self._body_bytes = 0
+        self._granted_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the request target."""
@@ -142,6 +172,8 @@
                 raise _make_body_error()
             self.upload = uploads.Upload(length, self._transport)
             self._add_request(b"")
+        elif length:
+            self._take_memory(length)
         if self._headers.get("expect", "").lower() == "100-continue":
             self.wants_continue = True
 
@@ -153,7 +185,9 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
             raise _make_body_error()
-        self._body.append(data)
+        if self._body_bytes > self._granted_bytes:
+            self._extend_memory()
+        self._body.write(data)
 
     def on_message_complete(self) -> None:
         """Completes the request or its upload."""
@@ -163,7 +197,10 @@
         if upload is not None:
             upload.end()
             return
-        self._add_request(b"".join(self._body))
+        if self._grant is not None:
+            self._grant.shrink(self._body_bytes)
+        body, self._body = self._body.getvalue(), io.BytesIO()
+        self._add_request(body)
 
     def _add_request(self, body: bytes) -> None:
         parser = self._parser
@@ -180,8 +217,43 @@
                 request,
                 parser.should_keep_alive(),
                 parser.get_http_version() != "1.1",
+                self._grant,
             )
         )
+        self._grant = None
+
+    def _extend_memory(self) -> None:
+        """Takes memory for a body without a declared length.
+
+        A body that is not small takes the most that it may need at once: two
+        that each wait for the rest would never end.
+        """
+        if self._body_bytes <= memory.SMALL_BODY_BYTES:
+            self._take_memory(memory.SMALL_BODY_BYTES)
+            return
+        size = self._limits.body_bytes
+        if self._memory is not None:
+            size = min(size, self._memory.largest_bytes)
+        self._take_memory(max(size, self._body_bytes))
+
+    def _release_grant(self) -> None:
+        grant, self._grant = self._grant, None
+        if grant is not None:
+            grant.release()
+
+    def _take_memory(self, size: int) -> None:
+        """Takes memory for a body in place of what it has.
+
+        Raises:
+            RefusedError: if the body never fits.
+        """
+        self._granted_bytes = size
+        if self._memory is None:
+            return
+        self._release_grant()
+        self._grant = self._memory.take(size, self._on_granted)
+        if self._grant is None:
+            raise make_memory_error()
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -197,5 +269,10 @@
     return RefusedError(431, "FL-HTTP-HEAD", "request head is too large")
 
 
+def make_memory_error() -> RefusedError:
+    """Returns the refusal of a request whose body finds no memory."""
+    return RefusedError(503, NO_MEMORY, "no memory for the body")
+
+
 def _make_body_error() -> RefusedError:
     return RefusedError(413, "FL-HTTP-BODY", "request body is too large")
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -11,6 +11,7 @@
 from filbertlift_core import logs
 from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import memory as memories
 from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
@@ -24,7 +25,14 @@
 SWEEP_INTERVAL_S = 1.0
 # Time for a refused caller to read the response and close the connection.
 LINGER_S = 5.0
+# Longest time for which a request waits for the memory of its body, in seconds.
+# Its caller is then told that it has not run, and may find room elsewhere.
+MAX_MEMORY_WAIT_S = 3.0
+# Code of the refusal of a connection over the limit.
+FULL_CODE = "FL-HTTP-FULL"
 _JSON = (http.Header("Content-Type", "application/json"),)
+# Tells a caller that was refused for lack of memory when to retry.
+_RETRY = http.Header("Retry-After", "1")
 
 
 @attrs.frozen
@@ -56,6 +64,7 @@
             collections.deque()
         )
         self._reply: replies.Reply | None = None
+        self._current: requests.ParsedRequest | None = None
         self._reader: requests.RequestReader
         # Body of the current request, if it is passed on in parts.
         self._upload: uploads.Upload | None = None
@@ -73,10 +82,12 @@
             self._server.limits,
             model.Address(peer.host, peer.port),
             self.transport,
+            self._server.memory,
+            self._continue_body,
         )
         self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
-            self._refuse(503, "FL-HTTP-FULL", "too many connections")
+            self._refuse(503, FULL_CODE, "too many connections")
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles received bytes."""
@@ -90,9 +101,9 @@
             return
         if completed or self._phase != previous_phase or self._reader.upload:
             self._waiting_since = self._server.read_time()
-        if self._reader.wants_continue and self._reply is None:
-            self._reader.wants_continue = False
-            self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._reader.is_waiting:
+            self._pause_reading()
+        self._send_continue()
         for parsed in completed:
             self._pending.append(parsed)
         self._serve_next()
@@ -102,11 +113,16 @@
     ) -> None:
         """Ends the current reply, which notifies its handler."""
         self._is_closing = True
+        pending = list(self._pending)
         self._pending.clear()
         self._server.remove(self)
         reply, self._reply = self._reply, None
         if reply is not None:
             reply.drop()
+        self._reader.release()
+        for parsed in pending:
+            parsed.release()
+        self._release_current()
 
     def call_soon(self, function: Callable[[], None]) -> None:
         """Calls the function after the current reactor iteration."""
@@ -117,6 +133,7 @@
         if reply is not self._reply:
             return
         self._reply = None
+        self._release_current()
         upload, self._upload = self._upload, None
         if upload is not None and not upload.is_over:
             # The response was sent before the whole body arrived; the rest of
@@ -145,6 +162,9 @@
             # The caller does not read the last response or does not close.
             if elapsed >= (LINGER_S if self._is_refused else limits.idle_s):
                 self.transport.abortConnection()
+        elif self._reader.is_waiting:
+            if elapsed >= MAX_MEMORY_WAIT_S:
+                self._refuse_body()
         elif self._reader.is_in_head and elapsed >= limits.head_s:
             self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
         elif self._reader.is_in_body and elapsed >= limits.body_s:
@@ -191,12 +211,10 @@
             return
         parsed = self._pending.popleft()
         # Pipelined requests are answered before more data is read.
-        if self._pending and self._is_reading:
-            self._is_reading = False
-            self.transport.pauseProducing()
-        elif not self._pending and not self._is_reading:
-            self._is_reading = True
-            self.transport.resumeProducing()
+        if self._pending:
+            self._pause_reading()
+        elif not self._reader.is_waiting:
+            self._resume_reading()
         reply = replies.Reply(
             connection=self,
             is_head=parsed.request.method == "HEAD",
@@ -204,6 +222,7 @@
             keep=parsed.keep and not self._server.is_stopping,
         )
         self._reply = reply
+        self._current = parsed
         self._upload = parsed.request.upload
         try:
             self._server.handle(parsed.request, reply)
@@ -212,7 +231,46 @@
             logs.log_event("http.handler-failed", error=repr(error))
             reply.abort()
 
+    def _pause_reading(self) -> None:
+        if self._is_reading:
+            self._is_reading = False
+            self.transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
+
+    def _continue_body(self) -> None:
+        """Reads a body on once its memory is granted."""
+        if self._is_closing:
+            return
+        self._waiting_since = self._server.read_time()
+        self._send_continue()
+        if not self._pending:
+            self._resume_reading()
+
+    def _send_continue(self) -> None:
+        """Asks the caller for a body that it holds back, if there is room."""
+        is_asked = self._reader.wants_continue and not self._reader.is_waiting
+        if is_asked and self._reply is None:
+            self._reader.wants_continue = False
+            self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _refuse_body(self) -> None:
+        """Refuses a request whose body has waited too long for memory."""
+        assert self._server.memory is not None
+        self._server.memory.note_refused()
+        error = requests.make_memory_error()
+        self._refuse(error.status, error.code, error.message)
+
+    def _release_current(self) -> None:
+        current, self._current = self._current, None
+        if current is not None:
+            current.release()
+
     def _refuse(self, status: int, code: str, message: str) -> None:
+        self._reader.release()
         if self._reply is not None:
             # The response to an earlier request is still being sent, so no
             # other data may be sent before it ends.
@@ -224,8 +282,10 @@
         )
         self._reply = reply
         # Connections over the limit are closed at once.
-        self._is_refused = status != 503
-        reply.send(status, _JSON, http.make_error_body(code, message))
+        self._is_refused = code != FULL_CODE
+        self._resume_reading()
+        headers = (*_JSON, _RETRY) if code == requests.NO_MEMORY else _JSON
+        reply.send(status, headers, http.make_error_body(code, message))
 
     def _close(self) -> None:
         self._is_closing = True
@@ -249,10 +309,18 @@
 
     Attributes:
         limits: limits on sizes, counts and times.
+        memory: budget of the bodies of requests; None without a limit.
         is_stopping: whether connections close after the current response.
     """
 
-    def __init__(self, reactor: Any, handle: Handler, limits: Limits) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        handle: Handler,
+        limits: Limits,
+        memory: memories.MemoryBudget | None = None,
+    ) -> None:
+        self.memory = memory
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
@@ -273,13 +341,14 @@
         address: model.Address,
         handle: Handler,
         limits: Limits = Limits(),
+        memory: memories.MemoryBudget | None = None,
     ) -> "HttpServer":
         """Starts a server at an address.
 
         Raises:
             CannotListenError: if the address is in use.
         """
-        server = cls(reactor, handle, limits)
+        server = cls(reactor, handle, limits, memory)
         server.start(address)
         return server
 
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -10,6 +10,7 @@
 
 from filbertlift_core import model
 from filbertlift_transport import http
+from filbertlift_transport import memory
 from filbertlift_transport import server
 
 ADDRESS = model.Address("127.0.0.1", 8_080)
@@ -21,12 +22,16 @@
 class ServerFixture:
     """A server whose handler is simulated by the test."""
 
-    def __init__(self, limits: http.Limits = LIMITS) -> None:
+    def __init__(
+        self,
+        limits: http.Limits = LIMITS,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self.clock = testing.MemoryReactorClock()
         self.requests: list[http.Request] = []
         self.replies: list[server.Reply] = []
         self.server = server.HttpServer.listen(
-            self.clock, ADDRESS, self._handle, limits
+            self.clock, ADDRESS, self._handle, limits, budget
         )
 
     def _handle(self, request: http.Request, reply: server.Reply) -> None:
@@ -412,3 +417,103 @@
     assert fixture.server.count_connections() == server.ConnectionCounts(
         2, 1, 1, 0
     )
+
+
+# Two bodies of 100,000 bytes do not fit the budget at once.
+BUDGET_BYTES = 200_000
+LARGE_LIMITS = http.Limits(body_bytes=150_000, connections=9, body_s=2.0)
+LARGE_BODY = b"x" * 100_000
+LARGE_HEAD = b"POST /a HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+CHUNKED_HEAD = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def make_budgeted_server() -> ServerFixture:
+    budget = memory.MemoryBudget.from_limit(BUDGET_BYTES)
+    return ServerFixture(LARGE_LIMITS, budget)
+
+
+def test_a_body_without_memory_is_not_read_until_another_is_gone() -> None:
+    """Guards against bodies that together take more than the memory."""
+    fixture = make_budgeted_server()
+    receive, _transport = fixture.connect()
+    receive(LARGE_HEAD + LARGE_BODY)
+    receive_second, second = fixture.connect()
+    receive_second(LARGE_HEAD + b"x")
+    assert second.producerState == "paused"
+    fixture.replies[0].send(200, JSON, b"{}")
+    assert second.producerState == "producing"
+    receive_second(LARGE_BODY[1:])
+    assert fixture.requests[1].body == LARGE_BODY
+
+
+def test_a_small_body_is_read_beside_one_that_waits() -> None:
+    fixture = make_budgeted_server()
+    for _ in range(2):
+        receive, _transport = fixture.connect()
+        receive(LARGE_HEAD)
+    receive, transport = fixture.connect()
+    receive(b"POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
+    assert transport.producerState == "producing"
+    assert fixture.requests[0].body == b"ab"
+
+
+def test_a_body_that_waits_too_long_is_refused_as_not_run() -> None:
+    """Guards against a 408, and against a close before the refusal is read."""
+    fixture = make_budgeted_server()
+    receive, _transport = fixture.connect()
+    receive(LARGE_HEAD + LARGE_BODY)
+    receive, transport = fixture.connect()
+    receive(LARGE_HEAD + b"x")
+    fixture.clock.pump([0.5] * 10)
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in transport.value()
+    assert transport.producerState == "producing"
+    assert transport.is_write_closed
+    assert len(fixture.requests) == 1
+
+
+def test_a_body_that_never_fits_is_refused_at_its_head() -> None:
+    budget = memory.MemoryBudget.from_limit(90_000)
+    fixture = ServerFixture(LARGE_LIMITS, budget)
+    receive, transport = fixture.connect()
+    receive(LARGE_HEAD)
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_caller_is_asked_for_its_body_only_when_there_is_memory() -> None:
+    fixture = make_budgeted_server()
+    receive, _transport = fixture.connect()
+    receive(LARGE_HEAD + LARGE_BODY)
+    receive, transport = fixture.connect()
+    receive(LARGE_HEAD[:-2] + b"Expect: 100-continue\r\n\r\n")
+    assert transport.value() == b""
+    fixture.replies[0].send(200, JSON, b"{}")
+    assert transport.value().startswith(b"HTTP/1.1 100 ")
+
+
+@pytest.mark.parametrize("data", [LARGE_BODY[:9], LARGE_BODY])
+def test_a_caller_that_leaves_gives_back_its_memory(data: bytes) -> None:
+    fixture = make_budgeted_server()
+    receive, _transport = fixture.connect()
+    receive(LARGE_HEAD + data)
+    assert fixture.server.memory.used_bytes == len(LARGE_BODY)
+    fixture.last.connectionLost()
+    assert fixture.server.memory.used_bytes == 0
+
+
+def test_chunked_bodies_do_not_wait_for_each_other() -> None:
+    """Guards against two bodies that each hold what the other waits for."""
+    fixture = make_budgeted_server()
+    chunk = b"c350\r\n" + b"x" * 50_000 + b"\r\n"
+    receive, first = fixture.connect()
+    receive(CHUNKED_HEAD + chunk)
+    receive_second, second = fixture.connect()
+    receive_second(CHUNKED_HEAD + chunk)
+    receive(chunk)
+    receive_second(chunk)
+    assert first.producerState == "producing"
+    assert second.producerState == "paused"
+    receive(b"0\r\n\r\n")
+    assert len(fixture.requests[0].body) == 100_000
+    fixture.replies[0].send(200, JSON, b"{}")
+    assert second.producerState == "producing"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -109,6 +109,20 @@
     assert found.repeat_slack == 62
 
 
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [("limits.memoryMb=150", 150_000_000), ("", 300_000_000)],
+)
+def test_the_memory_of_the_process_is_read_or_its_default_holds(line, expected):
+    lines = [
+        text
+        for text in SETTINGS.splitlines()
+        if not text.startswith("limits.memoryMb")
+    ]
+    found = settings.parse_settings("\n".join([*lines, line]))
+    assert found.memory_bytes == expected
+
+
 @pytest.mark.parametrize("text", ["", SETTINGS.replace("8301", "x")])
 def test_missing_or_invalid_settings_are_refused(text):
     with pytest.raises(exceptions.PlatformError):
