--- a/libs/sidecar/src/filbertlift_sidecar/exchange.py
+++ b/libs/sidecar/src/filbertlift_sidecar/exchange.py
@@ -37,6 +37,9 @@
 # Interval at which a connection that is not read checks whether the streamed
 # data was passed on, in seconds.
 RESUME_INTERVAL_S: Final = 0.05
+# Bytes of a body that are written at a time; the next are written once the
+# connection has taken them.
+BODY_PART_BYTES: Final = 256 * 1024
 
 
 BacklogFunction = Callable[[], bool]
@@ -60,12 +63,14 @@
             and whether any byte of the request may have reached the target.
         is_backlogged: returns whether streamed data waits to be passed on, so
             that the target should not be read.
+        on_sent: called when the whole request was written.
     """
 
     on_answer: Callable[[answers.TargetAnswer], None]
     on_data: Callable[[bytes, bool], None]
     on_failure: Callable[[str, bool], None]
     is_backlogged: BacklogFunction = never_backlogged
+    on_sent: Callable[[], None] = lambda: None
 
 
 class TargetConnection(protocol.Protocol):
@@ -91,6 +96,8 @@
         self._request: answers.TargetRequest | None = None
         self._events: ExchangeEvents | None = None
         self._is_sent = False
+        # Part of the body that was not written yet.
+        self._unsent = memoryview(b"")
         self._is_closed = False
         self._reactor: Any = None
         self._connector: Any = None
@@ -116,6 +123,7 @@
     def drop(self) -> None:
         """Closes the connection; nothing more is reported."""
         self._events = None
+        self._drop_body()
         if self._is_closed:
             return
         self._is_closed = True
@@ -137,7 +145,7 @@
             self.transport.abortConnection()
             return
         sockets.set_liveness(self.transport)
-        self._output = outputs.Output(self.transport, lambda: None)
+        self._output = outputs.Output(self.transport, self._send_body)
         if self._request is not None:
             self._send()
 
@@ -217,7 +225,8 @@
             limit_s = max(0.0, answered.keep_alive_s - IDLE_MARGIN_S)
             self.idle_limit_s = min(IDLE_LIMIT_S, limit_s)
         # The unsent rest of a request would go out before the next one.
-        is_sent = self._output is not None and not self._output.is_full
+        output = self._output
+        is_sent = output is not None and not output.is_full and not self._unsent
         is_full = len(self.used_ids) >= MAX_REQUESTS
         is_usable = is_sent and not is_full and not self._is_paused
         if answered.is_reusable and is_usable:
@@ -239,8 +248,34 @@
         assert self._request is not None and self._output is not None
         self._is_sent = True
         self.used_ids.add(self._request.request_id)
-        self._reader.start(self._request)
         self._output.write(self._request.data)
+        body = self._request.body
+        self._drop_body()
+        self._reader.start(self._request)
+        self._unsent = memoryview(body)
+        self._send_body()
+
+    def _send_body(self) -> None:
+        """Writes the next part of the body, if the connection takes it."""
+        if self._is_closed or self._output is None or self._output.is_full:
+            return
+        if self._unsent:
+            part = bytes(self._unsent[:BODY_PART_BYTES])
+            self._unsent = self._unsent[BODY_PART_BYTES:]
+            if not self._unsent:
+                # An empty view would still hold the body.
+                self._unsent = memoryview(b"")
+            self._output.write(part)
+            if self._unsent and not self._output.is_full:
+                # Other connections are served between two parts.
+                self._reactor.callLater(0, self._send_body)
+        if not self._unsent and self._events is not None:
+            self._events.on_sent()
+
+    def _drop_body(self) -> None:
+        self._unsent = memoryview(b"")
+        if self._request is not None and self._request.body:
+            self._request = attrs.evolve(self._request, body=b"")
 
 
 class TargetPool:
--- a/libs/sidecar/tests/test_peerlink.py
+++ b/libs/sidecar/tests/test_peerlink.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import attrs
 import pytest
 from twisted.internet import error as twisted_errors
 from twisted.internet import testing
@@ -39,11 +40,11 @@
         self.answers = []
         self.chunks = []
 
-    def submit(self):
+    def submit(self, call=CALL):
         return self.calls.submit(
             PEER,
             remote.SMALL,
-            CALL,
+            call,
             self.answers.append,
             self.chunks.append,
         )
@@ -330,3 +331,57 @@
     sent = frames.FrameReader().feed(link.transport.value())
     assert sent[-1] == frames.Cancel(remote_call.stream)
     assert link.transport.disconnecting and not link.transport.disconnected
+
+
+LARGE_CALL = attrs.evolve(CALL, body=b"x" * 5_000_000)
+
+
+def ask_for_body(remote_call, link):
+    message = frames.BodyRequest(remote_call.stream)
+    link.dataReceived(frames.encode_message(message))
+
+
+def test_a_large_body_is_sent_only_once_the_peer_asks_for_it(bench):
+    """Guards against bodies for which the peer has no memory."""
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    (head,) = bench.read_sent(link)
+    assert (head.body, head.body_bytes) == (b"", 5_000_000)
+    bench.reactor.advance(0.2)
+    assert bench.read_sent(link) == []
+    ask_for_body(remote_call, link)
+    bench.reactor.pump([0.01] * 50)
+    parts = [
+        message
+        for message in bench.read_sent(link)
+        if isinstance(message, frames.BodyPart)
+    ]
+    assert b"".join(part.data for part in parts) == LARGE_CALL.body
+    assert parts[-1].left == 0
+
+
+@pytest.mark.parametrize(
+    ("seconds", "end"),
+    [(0.0, AttemptEnd.NOT_RUN), (1.0, AttemptEnd.BROKEN)],
+)
+def test_a_call_whose_body_was_cut_off_has_not_run(bench, seconds, end):
+    """Guards against a 502 for a call that certainly has not run."""
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    ask_for_body(remote_call, link)
+    bench.reactor.pump([0.01] * int(seconds / 0.01))
+    link.connectionLost(failure.Failure(twisted_errors.ConnectionLost()))
+    assert [AttemptEnd(answer.end) for answer in bench.answers] == [end]
+
+
+def test_the_body_of_a_withdrawn_call_is_not_sent_on(bench):
+    remote_call = bench.submit(LARGE_CALL)
+    link = bench.open()
+    ask_for_body(remote_call, link)
+    bench.calls.cancel(remote_call)
+    bench.reactor.pump([0.01] * 50)
+    *_others, last_part, cancel = bench.read_sent(link)
+    assert last_part == frames.BodyPart(
+        remote_call.stream, b"", frames.WITHDRAWN
+    )
+    assert cancel == frames.Cancel(remote_call.stream)
--- a/libs/transport/src/filbertlift_transport/server.py
+++ b/libs/transport/src/filbertlift_transport/server.py
@@ -12,6 +12,7 @@
 from filbertlift_core import model
 from filbertlift_transport import http
 from filbertlift_transport import listening
+from filbertlift_transport import memory as memories
 from filbertlift_transport import outputs
 from filbertlift_transport import reply as replies
 from filbertlift_transport import requests
@@ -28,7 +29,12 @@
 # Limit for connections that wait for that, unless the server stops. Further
 # ones are closed at once, so that they do not use up the connections of others.
 MAX_LINGERING = 256
+# Longest time for which a request waits for the memory of its body, in seconds.
+# Its caller is then told that it has not run, and may find room elsewhere.
+MAX_MEMORY_WAIT_S = 3.0
 _JSON = (http.Header("Content-Type", "application/json"),)
+# Tells a caller that was refused for lack of memory when to retry.
+_RETRY = http.Header("Retry-After", "1")
 
 
 @attrs.frozen
@@ -60,6 +66,7 @@
             collections.deque()
         )
         self._reply: replies.Reply | None = None
+        self._current: requests.ParsedRequest | None = None
         self._reader: requests.RequestReader
         # Body of the current request, if it is passed on in parts.
         self._upload: uploads.Upload | None = None
@@ -81,6 +88,8 @@
             lambda: self._server.limits,
             model.Address(peer.host, peer.port),
             self.transport,
+            self._server.memory,
+            self._continue_body,
         )
         self.output = outputs.Output(self.transport, self._report_drained)
         if not self._server.add(self):
@@ -102,6 +111,8 @@
         if completed or self._phase != previous_phase or self._reader.upload:
             self._waiting_since = self._server.read_time()
         self._pending.extend(completed)
+        if self._reader.is_waiting:
+            self._pause_reading()
         self._send_continue()
         self._serve_next()
 
@@ -113,11 +124,16 @@
         if self._is_lingering:
             self._is_lingering = False
             self._server.lingering -= 1
+        pending = list(self._pending)
         self._pending.clear()
         self._server.remove(self)
         reply, self._reply = self._reply, None
         if reply is not None:
             reply.drop()
+        self._reader.release()
+        for parsed in pending:
+            parsed.release()
+        self._release_current()
 
     def call_soon(self, function: Callable[[], None]) -> None:
         """Calls the function after the current reactor iteration."""
@@ -128,6 +144,7 @@
         if reply is not self._reply:
             return
         self._reply = None
+        self._release_current()
         upload, self._upload = self._upload, None
         if upload is not None and not upload.is_over:
             # The response was sent before the whole body arrived; the rest of
@@ -157,6 +174,9 @@
             # The caller does not read the last response or does not close.
             if elapsed >= (LINGER_S if self.output.is_sent else limits.idle_s):
                 self.transport.abortConnection()
+        elif self._reader.is_waiting:
+            if elapsed >= MAX_MEMORY_WAIT_S:
+                self._refuse_body()
         elif self._reader.is_in_head and elapsed >= limits.head_s:
             self._refuse(408, "FL-HTTP-SLOW", "request head took too long")
         elif self._reader.is_in_body and elapsed >= limits.body_s:
@@ -237,12 +257,10 @@
             return
         parsed = self._pending.popleft()
         # Pipelined requests are answered before more data is read.
-        if self._pending and self._is_reading:
-            self._is_reading = False
-            self.transport.pauseProducing()
-        elif not self._pending and not self._is_reading:
-            self._is_reading = True
-            self.transport.resumeProducing()
+        if self._pending:
+            self._pause_reading()
+        elif not self._reader.is_waiting:
+            self._resume_reading()
         reply = replies.Reply(
             connection=self,
             is_head=parsed.request.method == "HEAD",
@@ -252,6 +270,7 @@
         if self._server.is_stopping:
             reply.close_after()
         self._reply = reply
+        self._current = parsed
         self._upload = parsed.request.upload
         try:
             self._server.handle(parsed.request, reply)
@@ -260,16 +279,52 @@
             logs.log_event("http.handler-failed", error=repr(error))
             reply.abort()
 
+    def _pause_reading(self) -> None:
+        if self._is_reading:
+            self._is_reading = False
+            self.transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if not self._is_reading:
+            self._is_reading = True
+            self.transport.resumeProducing()
+
+    def _continue_body(self) -> None:
+        """Reads a body on once its memory is granted."""
+        if self._is_closing:
+            return
+        self._waiting_since = self._server.read_time()
+        self._send_continue()
+        if not self._pending:
+            self._resume_reading()
+
     def _send_continue(self) -> None:
-        """Lets the caller send a body, unless responses come before it."""
-        if not self._reader.wants_continue or self.is_answering:
+        """Asks for a body that the caller holds back, if there is room.
+
+        Responses that are due come before it.
+        """
+        is_asked = self._reader.wants_continue and not self._reader.is_waiting
+        if not is_asked or self.is_answering:
             return
         self._reader.wants_continue = False
         self.output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _refuse_body(self) -> None:
+        """Refuses a request whose body has waited too long for memory."""
+        assert self._server.memory is not None
+        self._server.memory.note_refused()
+        error = requests.make_memory_error()
+        self._refuse(error.status, error.code, error.message)
+
+    def _release_current(self) -> None:
+        current, self._current = self._current, None
+        if current is not None:
+            current.release()
+
     def _refuse(
         self, status: int, code: str, message: str, lingers: bool = True
     ) -> None:
+        self._reader.release()
         if self._reply is not None:
             # The response to an earlier request is still being sent, so no
             # other data may be sent before it ends.
@@ -282,7 +337,9 @@
         self._reply = reply
         self._is_refused = lingers
         self._may_linger = lingers
-        reply.send(status, _JSON, http.make_error_body(code, message))
+        self._resume_reading()
+        headers = (*_JSON, _RETRY) if code == requests.NO_MEMORY else _JSON
+        reply.send(status, headers, http.make_error_body(code, message))
 
     def _close_idle(self) -> None:
         # Timers of a late event loop run before sockets are read, so a request
@@ -300,9 +357,7 @@
         # what the caller has not received, so they are read and dropped.
         self._is_lingering = True
         self._server.lingering += 1
-        if not self._is_reading:
-            self._is_reading = True
-            self.transport.resumeProducing()
+        self._resume_reading()
         self.output.close_sending()
 
     def _report_drained(self) -> None:
@@ -317,11 +372,19 @@
 
     Attributes:
         limits: limits on sizes, counts and times.
+        memory: budget of the bodies of requests; None without a limit.
         is_stopping: whether connections close after the current response.
         lingering: number of connections that wait for their callers to close.
     """
 
-    def __init__(self, reactor: Any, handle: Handler, limits: Limits) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        handle: Handler,
+        limits: Limits,
+        memory: memories.MemoryBudget | None = None,
+    ) -> None:
+        self.memory = memory
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
@@ -343,13 +406,14 @@
         address: model.Address,
         handle: Handler,
         limits: Limits = Limits(),
+        memory: memories.MemoryBudget | None = None,
     ) -> "HttpServer":
         """Starts a server at an address.
 
         Raises:
             CannotListenError: if the address is in use.
         """
-        server = cls(reactor, handle, limits)
+        server = cls(reactor, handle, limits, memory)
         server.start(address)
         return server
 
