Test that faults of the event loop are logged; type the steps of a close

Cause: the log of such faults had no test, and the list of parts no common type. Change: a test; the steps are a tuple of functions.

--- a/libs/sidecar/src/filbertlift_sidecar/eventlog.py
+++ b/libs/sidecar/src/filbertlift_sidecar/eventlog.py
@@ -60,7 +60,7 @@
         """Makes standard output non-blocking and writes all events to it."""
         os.set_blocking(STDOUT, False)
         logs.set_writer(self.log)
-        twisted_log.addObserver(self._log_fault)
+        twisted_log.addObserver(self.log_fault)
 
     def log(self, event: str, **fields: Any) -> None:
         """Writes an event of the node itself, without a rate limit."""
@@ -77,7 +77,7 @@
         """
         self._log_bounded(MIN_ROUTINE_TOKENS, event, fields)
 
-    def _log_fault(self, event: dict[str, Any]) -> None:
+    def log_fault(self, event: dict[str, Any]) -> None:
         """Writes an exception that a callback of the event loop raised."""
         reason = event.get("failure")
         if not event.get("isError") or reason is None:
--- a/libs/sidecar/src/filbertlift_sidecar/node.py
+++ b/libs/sidecar/src/filbertlift_sidecar/node.py
@@ -505,18 +505,19 @@
             answering=counts.answering,
             unsent=counts.unsent,
         )
-        parts = (
-            self._versions,
-            self._registry,
-            self._replication,
-            self._gossip,
-            *self._servers,
-            self._keeper,
-            self._uplink,
-            self._remote,
-            self._listener,
+        steps: tuple[Callable[[], Any], ...] = (
+            self._loop.stop,
+            self._versions.close,
+            self._registry.close,
+            self._replication.close,
+            self._gossip.close,
+            *(part.close for part in self._servers),
+            self._keeper.close,
+            self._uplink.close,
+            self._remote.close,
+            self._listener.close,
         )
-        for close in (self._loop.stop, *(part.close for part in parts)):
+        for close in steps:
             # A part that fails must not keep the others, and the process, from
             # ending before the end of the grace period.
             try:
--- a/libs/sidecar/tests/test_eventlog.py
+++ b/libs/sidecar/tests/test_eventlog.py
@@ -1,5 +1,7 @@
 """Tests of the rate-limited log."""
 
+from twisted.python import log as twisted_log
+
 from filbertlift_sidecar import eventlog
 
 
@@ -48,3 +50,16 @@
     bench.log.write = lambda _data: False
     bench.log.log("node.start")
     assert bench.log.total_suppressed == 1
+
+
+def test_an_exception_of_a_callback_is_one_line():
+    """Guards against faults of the event loop that are written nowhere."""
+    bench = Bench()
+    twisted_log.addObserver(bench.log.log_fault)
+    try:
+        twisted_log.err(ValueError("odd"))
+    finally:
+        twisted_log.removeObserver(bench.log.log_fault)
+    assert any(
+        "event=loop.fault" in line and "odd" in line for line in bench.lines
+    )
