--- a/soak/src/filbertlift_soak/faults.py
+++ b/soak/src/filbertlift_soak/faults.py
@@ -156,7 +156,10 @@
         now = self.reactor.seconds()
         self.journal.stops.append(records.Interval(host.name, start, now))
         if not ended and self.journal.is_all_undisturbed(start, now):
-            self.problems.append(f"stop of {host.name} did not end in time")
+            status = host.process.exit_status
+            self.problems.append(
+                f"stop of {host.name} did not end in time: status {status}"
+            )
         host.restart_later(deployment.RESTART_DELAY_S)
 
     def _reload(self, host: deployment.Host, step: steps.Step) -> None:
