--- a/libs/transport/tests/test_closing.py
+++ b/libs/transport/tests/test_closing.py
@@ -168,3 +168,23 @@
         caller = fixture.connect(last)
         fixture.run_until(lambda n=count: fixture.server.lingering == n + 1)
     assert fixture.read_all(caller).startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 6")
+def test_a_caller_that_closes_behind_waiting_requests_is_noticed(
+    fixture: ClosingFixture,
+) -> None:
+    """Guards against work that goes on after its caller has gone."""
+    gone: list[server.Reply] = []
+
+    def handle(_request: http.Request, reply: server.Reply) -> None:
+        reply.on_gone = lambda: gone.append(reply)
+
+    fixture.server.handle = handle
+    caller = fixture.connect(2 * GET)
+    fixture.run_until(lambda: fixture.server.connections == 1)
+    caller.close()
+    until = time.monotonic() + 0.5
+    while time.monotonic() < until:
+        fixture.step()
+    assert gone
--- a/libs/transport/tests/test_server.py
+++ b/libs/transport/tests/test_server.py
@@ -634,3 +634,26 @@
     assert len(fixture.requests[0].body) == 100_000
     fixture.replies[0].send(200, JSON, b"{}")
     assert second.producerState == "producing"
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [GET, b"\x00\x01 bad\r\n\r\n"],
+        pytest.param(
+            [GET + b"\x00\x01 bad\r\n\r\n"],
+            marks=pytest.mark.xfail(
+                strict=True, reason="KNOWN-RED.txt, entry 7"
+            ),
+        ),
+    ],
+)
+def test_a_request_before_malformed_bytes_is_handled(
+    parts: list[bytes],
+) -> None:
+    """Guards against an answer that depends on how the bytes are split."""
+    fixture = ServerFixture()
+    receive, _ = fixture.connect()
+    for part in parts:
+        receive(part)
+    assert len(fixture.requests) == 1
