--- a/review/standins2.py
+++ b/review/standins2.py
@@ -315,7 +315,8 @@
     """One machine: the process of the deploy file and its settings."""
 
     def __init__(self, folder, number, service, zone, region, store, **more):
-        self.host = f"127.0.{40 + number}.1"
+        # Scripts that run at the same time do not share addresses.
+        self.host = f"127.{1 + os.getpid() % 250}.{40 + number}.1"
         base = find_free_ports(self.host, 20)
         self.name = f"sidecar-{zone}-{number}"
         self.service = service
